--- /dev/null
+++ b/src/coordination/ServiceSplit.h
@@ -0,0 +1,26 @@
+// Distributes the requests of a route over its services in the proportion of their weights, as evenly as
+// possible at any moment (smooth weighted round robin).
+#pragma once
+
+#include "state/ServingConfig.h"
+
+#include <map>
+
+namespace Ebonystack {
+
+/// Not thread-safe.
+class ServiceSplit {
+public:
+    /// The service for the next request of the route. A route whose shares have changed starts anew.
+    const ServiceName& next(const ServingRoute&);
+
+private:
+    struct Turn {
+        std::vector<ServiceShare> shares;
+        std::vector<double> credits; // one a share
+    };
+
+    std::map<RouteId, Turn> m_turns;
+};
+
+} // namespace Ebonystack
--- /dev/null
+++ b/src/coordination/SlotGate.cpp
@@ -0,0 +1,102 @@
+// The gate's count and its queue, ordered by rank and then by arrival.
+#include "coordination/SlotGate.h"
+
+#include <algorithm>
+
+namespace Ebonystack {
+namespace {
+
+/// One slot in this many stays free on large upstreams: many upstreams slow down when all slots are in use.
+constexpr std::uint32_t slotsPerSpareSlot = 18;
+constexpr double holdSmoothing = 0.05; // weight of a new sample in the moving average
+
+std::uint32_t limitFor(std::uint32_t slots)
+{
+    return std::max<std::uint32_t>(1, slots - (slots + slotsPerSpareSlot - 1) / slotsPerSpareSlot);
+}
+
+} // namespace
+
+std::vector<GateTicket> SlotGate::setSlots(std::uint32_t slots, Instant now)
+{
+    m_limit = limitFor(std::max<std::uint32_t>(slots, 1));
+    return startWaiting(now);
+}
+
+GateVerdict SlotGate::arrive(const GateRequest& request, Instant now)
+{
+    if (m_running < m_limit && m_waiting.empty()) {
+        ++m_running;
+        return GateVerdict::Run;
+    }
+    if (now + expectedWait(request.rank) > request.latestStart)
+        return GateVerdict::Refused;
+    const Place place { request.rank, ++m_arrivals };
+    m_waiting.emplace(place, request);
+    m_places.emplace(request.ticket, place);
+    return GateVerdict::Queued;
+}
+
+std::vector<GateTicket> SlotGate::depart(Duration held, Instant now)
+{
+    if (m_running > 0)
+        --m_running;
+    const double mean = toSeconds(m_meanHold);
+    m_meanHold = fromSeconds(mean + holdSmoothing * (toSeconds(held) - mean));
+    return startWaiting(now);
+}
+
+bool SlotGate::withdraw(GateTicket ticket)
+{
+    const auto found = m_places.find(ticket);
+    if (found == m_places.end())
+        return false;
+    m_waiting.erase(found->second);
+    m_places.erase(found);
+    return true;
+}
+
+std::vector<GateTicket> SlotGate::expire(Instant now)
+{
+    std::vector<GateTicket> expired;
+    for (const auto& [place, request] : m_waiting) {
+        if (request.latestStart < now)
+            expired.push_back(request.ticket);
+    }
+    for (const GateTicket ticket : expired)
+        withdraw(ticket);
+    return expired;
+}
+
+Duration SlotGate::expectedWait(int rank) const
+{
+    if (m_running < m_limit && m_waiting.empty())
+        return Duration::zero();
+    const auto ahead = static_cast<std::int64_t>(
+        std::distance(m_waiting.begin(), m_waiting.lower_bound({ rank + 1, 0 })));
+    return m_meanHold * (ahead + 1) / std::max<std::int64_t>(m_limit, 1);
+}
+
+GateState SlotGate::state() const
+{
+    return { m_running, static_cast<std::uint32_t>(m_waiting.size()), m_limit };
+}
+
+std::vector<GateTicket> SlotGate::startWaiting(Instant now)
+{
+    std::vector<GateTicket> started;
+    for (auto next = m_waiting.begin(); next != m_waiting.end() && m_running < m_limit;) {
+        const GateRequest request = next->second;
+        if (request.latestStart < now) {
+            ++next; // `expire` gives it up
+            continue;
+        }
+        ++m_running;
+        started.push_back(request.ticket);
+        m_places.erase(request.ticket);
+        next = m_waiting.erase(next);
+    }
+    return started;
+}
+
+} // namespace Ebonystack
--- /dev/null
+++ b/src/coordination/UpstreamChoice.h
@@ -0,0 +1,55 @@
+// Chooses the VM for a request from the loads that nodes report and from this node's own experience. The
+// choice is random in proportion to the work that each VM can take on soon, so that entries with the same
+// news don't all choose the same VM. Answers upstreams of different speed, cold ones and failing ones.
+#pragma once
+
+#include "coordination/UpstreamDirectory.h"
+#include "state/RandomSource.h"
+#include "state/UpstreamLoad.h"
+
+#include <map>
+#include <optional>
+
+namespace Ebonystack {
+
+/// Not thread-safe.
+class UpstreamChoice {
+public:
+    UpstreamChoice(DataCentre own, std::uint64_t seed);
+
+    /// Picks one of `candidates` that is not in `tried`; null when none is left. VMs that failed lately are
+    /// picked rarely.
+    const KnownUpstream* choose(
+        const std::vector<const KnownUpstream*>& candidates, const std::vector<VmId>& tried, Instant now);
+
+    /// A request was sent to a VM.
+    void started(const VmId&);
+    /// It has ended; `failed` when the upstream did not give a sound answer.
+    void ended(const VmId&, bool failed, Instant now);
+    /// News of a VM's load.
+    void observe(const VmId&, const UpstreamLoad&, Instant now);
+
+    /// The mean shed share of the upstreams, weighted by their slots.
+    double shedShare(const std::vector<const KnownUpstream*>&, Instant now) const;
+    /// Requests that this node has sent to a VM and that have not ended.
+    std::uint32_t inFlight(const VmId&) const;
+    void forget(const VmId&);
+
+private:
+    struct View {
+        UpstreamLoad load;
+        std::optional<Instant> observedAt;
+        std::uint32_t inFlight { 0 };
+        std::uint32_t startedSince { 0 }; // requests sent since the last news
+        double failures { 0 }; // smoothed share of requests that failed
+        Instant failedAt;
+    };
+
+    double weight(const KnownUpstream&, Instant now) const;
+
+    DataCentre m_own;
+    RandomSource m_random;
+    std::map<VmId, View> m_views;
+};
+
+} // namespace Ebonystack
--- /dev/null
+++ b/src/protocol/HopFrame.cpp
@@ -0,0 +1,211 @@
+// Frames as CBOR arrays, by the JSON library's codec. The first element is the frame's index in HopFrame.
+#include "protocol/HopFrame.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace Ebonystack {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t lengthBytes = 4;
+
+Json bytesOf(const std::string& text) { return Json::binary({ text.begin(), text.end() }); }
+
+std::string textOf(const Json& json)
+{
+    const auto& bytes = json.get_binary();
+    return { bytes.begin(), bytes.end() };
+}
+
+Json fieldsOf(const HttpFields& fields)
+{
+    Json array = Json::array();
+    for (const HttpField& field : fields.all()) {
+        array.push_back(bytesOf(field.name));
+        array.push_back(bytesOf(field.value));
+    }
+    return array;
+}
+
+HttpFields toFields(const Json& array)
+{
+    HttpFields fields;
+    for (std::size_t i = 0; i + 1 < array.size(); i += 2)
+        fields.add(textOf(array[i]), textOf(array[i + 1]));
+    return fields;
+}
+
+Json loadOf(const UpstreamLoad& load)
+{
+    return Json::array({ load.gate.running, load.gate.queued, load.gate.limit, load.shedShare,
+        load.hold.count(), load.accepts });
+}
+
+UpstreamLoad toLoad(const Json& json)
+{
+    return { { json.at(0), json.at(1), json.at(2) }, json.at(3), Duration(json.at(4).get<std::int64_t>()),
+        json.at(5) };
+}
+
+Duration toDuration(const Json& json) { return Duration(json.get<std::int64_t>()); }
+
+Json write(const LinkHello& frame) { return Json::array({ frame.vm.text, frame.incarnation }); }
+
+Json write(const LinkBeat& frame)
+{
+    Json json = Json::array({ loadOf(frame.load), frame.storeRevision });
+    if (frame.uptime)
+        json.push_back(*frame.uptime);
+    return json;
+}
+
+Json write(const HopRequest& frame)
+{
+    return Json::array({ frame.number, frame.route.text, frame.timeLeft.count(), frame.targetLeft.count(),
+        frame.rank, frame.repeatable, frame.instance.text, frame.method, bytesOf(frame.target),
+        fieldsOf(frame.fields), bytesOf(frame.body) });
+}
+
+Json write(const HopAnswer& frame)
+{
+    Json costs = Json::array();
+    for (const auto& [service, cost] : frame.costs) {
+        costs.push_back(service.text);
+        costs.push_back(cost);
+    }
+    return Json::array({ frame.number, frame.outcome, frame.reason, frame.arrived, frame.status,
+        fieldsOf(frame.fields), bytesOf(frame.body), loadOf(frame.load), std::move(costs),
+        frame.waited.count() });
+}
+
+Json write(const HopCancel& frame) { return Json::array({ frame.number }); }
+Json write(const HopResume& frame) { return Json::array({ frame.numbers }); }
+Json write(const StoreAsk& frame) { return Json::array({ frame.since }); }
+
+Json write(const StoreShare& frame)
+{
+    Json items = Json::array();
+    for (const StoreItem& item : frame.items) {
+        Json each = Json::array({ item.key, item.revision });
+        if (item.value)
+            each.push_back(bytesOf(*item.value));
+        items.push_back(std::move(each));
+    }
+    return Json::array({ frame.revision, std::move(items) });
+}
+
+Json write(const TokenAsk& frame) { return Json::array({ frame.number, frame.team.text, frame.wanted }); }
+
+Json write(const TokenAnswer& frame)
+{
+    return Json::array({ frame.number, frame.tokens, frame.retryAfter.count() });
+}
+
+HopFrame readHello(const Json& json) { return LinkHello { { json.at(0) }, json.at(1) }; }
+
+HopFrame readBeat(const Json& json)
+{
+    LinkBeat beat { toLoad(json.at(0)), json.at(1), std::nullopt };
+    if (json.size() > 2)
+        beat.uptime = json.at(2).get<double>();
+    return beat;
+}
+
+HopFrame readRequest(const Json& json)
+{
+    return HopRequest { json.at(0), { json.at(1) }, toDuration(json.at(2)), toDuration(json.at(3)), json.at(4),
+        json.at(5), { json.at(6) }, json.at(7), textOf(json.at(8)), toFields(json.at(9)),
+        textOf(json.at(10)) };
+}
+
+HopFrame readAnswer(const Json& json)
+{
+    HopAnswer answer { json.at(0), json.at(1), json.at(2), json.at(3), json.at(4), toFields(json.at(5)),
+        textOf(json.at(6)), toLoad(json.at(7)), {}, toDuration(json.at(9)) };
+    const Json& costs = json.at(8);
+    for (std::size_t i = 0; i + 1 < costs.size(); i += 2)
+        answer.costs[{ costs[i].get<std::string>() }] = costs[i + 1].get<double>();
+    return answer;
+}
+
+HopFrame readCancel(const Json& json) { return HopCancel { json.at(0) }; }
+HopFrame readResume(const Json& json) { return HopResume { json.at(0) }; }
+HopFrame readStoreAsk(const Json& json) { return StoreAsk { json.at(0) }; }
+
+HopFrame readStoreShare(const Json& json)
+{
+    StoreShare share { json.at(0), {} };
+    for (const Json& each : json.at(1)) {
+        StoreItem item { each.at(0), each.at(1), std::nullopt };
+        if (each.size() > 2)
+            item.value = textOf(each.at(2));
+        share.items.push_back(std::move(item));
+    }
+    return share;
+}
+
+HopFrame readTokenAsk(const Json& json) { return TokenAsk { json.at(0), { json.at(1) }, json.at(2) }; }
+
+HopFrame readTokenAnswer(const Json& json)
+{
+    return TokenAnswer { json.at(0), json.at(1), toDuration(json.at(2)) };
+}
+
+/// In the order of the alternatives of HopFrame.
+constexpr std::array readers { readHello, readBeat, readRequest, readAnswer, readCancel, readResume,
+    readStoreAsk, readStoreShare, readTokenAsk, readTokenAnswer };
+static_assert(readers.size() == std::variant_size_v<HopFrame>);
+
+std::size_t lengthAt(std::string_view bytes)
+{
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < lengthBytes; ++i)
+        length = length << 8 | static_cast<unsigned char>(bytes[i]);
+    return length;
+}
+
+} // namespace
+
+std::string encodeFrame(const HopFrame& frame)
+{
+    Json json = std::visit([](const auto& each) { return write(each); }, frame);
+    std::string bytes(lengthBytes, '\0');
+    Json::to_cbor(Json::array({ frame.index(), std::move(json) }), nlohmann::detail::output_adapter<char>(bytes));
+    std::size_t length = bytes.size() - lengthBytes;
+    for (std::size_t i = lengthBytes; i-- > 0; length >>= 8)
+        bytes[i] = static_cast<char>(length & 0xff);
+    return bytes;
+}
+
+tl::expected<std::optional<HopFrame>, std::string> decodeFrame(std::string_view bytes, std::size_t& consumed)
+{
+    if (bytes.size() < lengthBytes)
+        return std::nullopt;
+    const std::size_t length = lengthAt(bytes);
+    if (length > longestFrame)
+        return tl::make_unexpected("a frame of " + std::to_string(length) + " bytes is longer than the limit");
+    if (bytes.size() < lengthBytes + length)
+        return std::nullopt;
+    consumed = lengthBytes + length;
+    try {
+        const Json json = Json::from_cbor(bytes.substr(lengthBytes, length));
+        const auto index = json.at(0).get<std::size_t>();
+        if (index >= readers.size())
+            return tl::make_unexpected("unknown frame " + std::to_string(index));
+        return readers[index](json.at(1));
+    } catch (const Json::exception& error) {
+        return tl::make_unexpected(std::string(error.what()));
+    }
+}
+
+std::string_view describe(HopReason reason)
+{
+    constexpr auto names = std::to_array<std::string_view>({ "none", "gate full", "upstream shed",
+        "wrong instance", "upstream down", "upstream draining", "answer invalid", "connection lost", "too late",
+        "unknown request", "cancelled" });
+    return names[static_cast<std::size_t>(reason)];
+}
+
+} // namespace Ebonystack
--- a/src/transport/HttpMessage.cpp
+++ b/src/protocol/HttpMessage.cpp
@@ -1,5 +1,5 @@
 // Fields and their removal.
-#include "transport/HttpMessage.h"
+#include "protocol/HttpMessage.h"
 
 #include <algorithm>
 #include <array>
--- a/src/protocol/JsonReader.cpp
+++ b/src/protocol/JsonReader.cpp
@@ -1,6 +1,8 @@
 // Typed reading of JSON objects with numbered problems.
 #include "protocol/JsonReader.h"
 
+#include "protocol/DurationText.h"
+
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -165,6 +167,17 @@
     target = std::chrono::milliseconds(count);
 }
 
+void JsonObjectReader::duration(std::string_view key, Duration& target, Presence presence)
+{
+    const Json* json = find(key, presence);
+    if (!json)
+        return;
+    const auto duration = json->is_string() ? parseDuration(json->get_ref<const std::string&>()) : std::nullopt;
+    if (!duration)
+        return addProblem(ResultCode::FieldTypeWrong, key, durationAdvice);
+    target = *duration;
+}
+
 void JsonObjectReader::array(std::string_view key,
     const std::function<void(const Json&, const std::string&)>& readItem, LengthRange range,
     Presence presence)
--- a/src/protocol/JsonReader.h
+++ b/src/protocol/JsonReader.h
@@ -55,6 +55,8 @@
     /// A whole number of milliseconds.
     void milliseconds(
         std::string_view key, Duration& target, UnsignedRange = {}, Presence = Presence::Required);
+    /// A text with a number and its unit; see DurationText.h.
+    void duration(std::string_view key, Duration& target, Presence = Presence::Required);
     /// Calls `readItem` with each element and its path.
     void array(std::string_view key,
         const std::function<void(const nlohmann::json&, const std::string&)>& readItem,
--- a/src/protocol/Settings.cpp
+++ b/src/protocol/Settings.cpp
@@ -3,12 +3,11 @@
 
 #include "protocol/JsonReader.h"
 #include "protocol/NetworkAddress.h"
+#include "protocol/SettingsFile.h"
 
 #include <algorithm>
 #include <array>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 namespace Ebonystack {
 namespace {
@@ -122,12 +121,10 @@
 
 tl::expected<Settings, Problems> loadSettings(const std::string& file)
 {
-    std::ifstream stream(file, std::ios::binary);
-    std::ostringstream text;
-    if (!stream || !(text << stream.rdbuf()))
-        return tl::make_unexpected(
-            Problems { { ResultCode::FileUnreadable, "", "check the file's name and rights" } });
-    return parseSettings(text.str());
+    const auto text = readSettingsFile(file);
+    if (!text)
+        return tl::make_unexpected(text.error());
+    return parseSettings(*text);
 }
 
 } // namespace Ebonystack
--- /dev/null
+++ b/src/protocol/SettingsFile.h
@@ -0,0 +1,14 @@
+// Reads the text of a settings file.
+#pragma once
+
+#include "protocol/Problem.h"
+
+#include <string>
+#include <tl/expected.hpp>
+
+namespace Ebonystack {
+
+/// The whole text of a file; FileUnreadable when it can't be read.
+tl::expected<std::string, Problems> readSettingsFile(const std::string& file);
+
+} // namespace Ebonystack
--- /dev/null
+++ b/src/state/UpstreamLoad.h
@@ -0,0 +1,29 @@
+// What a node says of the load of its upstream.
+#pragma once
+
+#include "state/Time.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace Ebonystack {
+
+/// The counts of the gate in front of an upstream.
+struct GateState {
+    std::uint32_t running { 0 };
+    std::uint32_t queued { 0 };
+    std::uint32_t limit { 0 }; ///< requests that may run at the same time
+
+    auto operator<=>(const GateState&) const = default;
+};
+
+struct UpstreamLoad {
+    GateState gate;
+    double shedShare { 0 }; ///< of the demand, to be refused at the entries; from 0 to just under 1
+    Duration hold { 0 }; ///< mean time for which a request holds a slot
+    bool accepts { true }; ///< false: the upstream can't be reached, or its node is leaving
+
+    auto operator<=>(const UpstreamLoad&) const = default;
+};
+
+} // namespace Ebonystack
--- a/src/transport/BeastSupport.h
+++ b/src/transport/BeastSupport.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "transport/Awaitable.h"
-#include "transport/HttpMessage.h"
+#include "protocol/HttpMessage.h"
 #include "transport/SystemClock.h"
 
 #include <array>
--- /dev/null
+++ b/src/transport/ByteStream.cpp
@@ -0,0 +1,223 @@
+// Non-blocking reads and writes behind readiness events of the loop.
+#include "transport/ByteStream.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/socket.h>
+
+namespace Ebonystack {
+namespace {
+
+namespace Asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+using Tcp = Asio::ip::tcp;
+
+/// Unacknowledged bytes break a connection after this time.
+constexpr unsigned silenceMilliseconds = 2500;
+/// An idle connection is probed after this time, and then once a second.
+constexpr int probeAfterSeconds = 3;
+constexpr int probeEverySeconds = 1;
+constexpr int probesUntilBroken = 2;
+/// All streams read into the same bytes: the loop has one thread, and callbacks copy what they keep.
+std::array<char, 64 * 1024> readBuffer;
+
+void setOption(int socket, int level, int name, int value)
+{
+    // A system without the option keeps its own, longer, timers.
+    static_cast<void>(::setsockopt(socket, level, name, &value, sizeof value));
+}
+
+void prepare(Tcp::socket& socket)
+{
+    ErrorCode ignored;
+    socket.non_blocking(true, ignored);
+    const int handle = socket.native_handle();
+    setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, silenceMilliseconds);
+    setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, probeAfterSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, probeEverySeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, probesUntilBroken);
+}
+
+std::optional<Tcp::endpoint> parseEndpoint(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    ErrorCode error;
+    const auto host = Asio::ip::make_address(text.substr(0, colon), error);
+    std::uint16_t port = 0;
+    const char* end = text.data() + text.size();
+    const auto [rest, wrong] = std::from_chars(text.data() + colon + 1, end, port);
+    if (error || wrong != std::errc() || rest != end)
+        return std::nullopt;
+    return Tcp::endpoint(host, port);
+}
+
+} // namespace
+
+ByteStream::ByteStream(Tcp::socket socket)
+    : m_socket(std::move(socket))
+{
+    prepare(m_socket);
+}
+
+void ByteStream::start(OnBytes onBytes, OnEnd onEnd)
+{
+    m_onBytes = std::move(onBytes);
+    m_onEnd = std::move(onEnd);
+    awaitReadable();
+}
+
+void ByteStream::write(std::string_view bytes)
+{
+    if (!isOpen())
+        return;
+    m_output.append(bytes);
+    if (m_flushPosted || m_awaitsWritable)
+        return;
+    m_flushPosted = true;
+    Asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_flushPosted = false;
+        self->flush();
+    });
+}
+
+void ByteStream::closeAfterWriting()
+{
+    m_closesAfterWriting = true;
+    m_onBytes = nullptr;
+    m_onEnd = nullptr;
+    if (unsent() == 0)
+        finishClosing();
+}
+
+void ByteStream::close()
+{
+    m_onBytes = nullptr;
+    m_onEnd = nullptr;
+    ErrorCode ignored;
+    m_socket.close(ignored);
+}
+
+bool ByteStream::hasNews()
+{
+    char byte = 0;
+    const auto count = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void ByteStream::awaitReadable()
+{
+    m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode& error) {
+        if (!error && self->isOpen())
+            self->onReadable();
+    });
+}
+
+void ByteStream::onReadable()
+{
+    ErrorCode error;
+    const std::size_t count = m_socket.read_some(Asio::buffer(readBuffer), error);
+    if (error == Asio::error::would_block || error == Asio::error::try_again)
+        return awaitReadable();
+    if (error)
+        return end(error == Asio::error::eof ? StreamEnd::Closed : StreamEnd::Broken);
+    // The callback may replace or drop the callbacks by closing the stream.
+    if (const OnBytes onBytes = m_onBytes)
+        onBytes({ readBuffer.data(), count });
+    if (isOpen())
+        awaitReadable();
+}
+
+void ByteStream::flush()
+{
+    if (!isOpen() || unsent() == 0)
+        return;
+    ErrorCode error;
+    const std::size_t count
+        = m_socket.write_some(Asio::buffer(m_output.data() + m_sent, unsent()), error);
+    if (error && error != Asio::error::would_block && error != Asio::error::try_again) {
+        // What the other side sent before the break is still to be read, so the reader reports the end.
+        m_output.clear();
+        m_sent = 0;
+        if (m_closesAfterWriting)
+            close();
+        return;
+    }
+    m_sent += error ? 0 : count;
+    if (unsent() > 0)
+        return awaitWritable();
+    m_output.clear();
+    m_sent = 0;
+    if (m_closesAfterWriting)
+        finishClosing();
+}
+
+void ByteStream::awaitWritable()
+{
+    m_awaitsWritable = true;
+    m_socket.async_wait(Tcp::socket::wait_write, [self = shared_from_this()](const ErrorCode& error) {
+        self->m_awaitsWritable = false;
+        if (!error)
+            self->flush();
+    });
+}
+
+void ByteStream::end(StreamEnd how)
+{
+    if (m_closesAfterWriting && unsent() > 0 && how == StreamEnd::Closed)
+        return; // the writer closes
+    const OnEnd onEnd = std::exchange(m_onEnd, nullptr);
+    close();
+    if (onEnd)
+        onEnd(how);
+}
+
+void ByteStream::finishClosing()
+{
+    // Closing with unread bytes would reset the connection and could destroy the answer on its way.
+    ErrorCode ignored;
+    m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    constexpr auto lingerTime = std::chrono::milliseconds(500);
+    auto timer = std::make_shared<Asio::steady_timer>(m_socket.get_executor(), lingerTime);
+    timer->async_wait([self = shared_from_this(), timer](const ErrorCode&) { self->close(); });
+}
+
+void connectStream(Asio::io_context& io, const std::string& address, Duration timeout,
+    std::function<void(std::shared_ptr<ByteStream>)> done)
+{
+    struct Attempt {
+        explicit Attempt(Asio::io_context& context)
+            : socket(context)
+            , timer(context)
+        {
+        }
+        Tcp::socket socket;
+        Asio::steady_timer timer;
+    };
+    auto attempt = std::make_shared<Attempt>(io);
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        Asio::post(io, [done = std::move(done)] { done(nullptr); });
+        return;
+    }
+    attempt->timer.expires_after(std::chrono::duration_cast<std::chrono::microseconds>(timeout));
+    attempt->timer.async_wait([attempt](const ErrorCode& error) {
+        ErrorCode ignored;
+        if (!error)
+            attempt->socket.close(ignored);
+    });
+    attempt->socket.async_connect(*endpoint, [attempt, done = std::move(done)](const ErrorCode& error) {
+        attempt->timer.cancel();
+        done(error || !attempt->socket.is_open() ? nullptr
+                                                 : std::make_shared<ByteStream>(std::move(attempt->socket)));
+    });
+}
+
+} // namespace Ebonystack
--- /dev/null
+++ b/src/transport/ByteStream.h
@@ -0,0 +1,66 @@
+// One TCP connection of the node's event loop: bytes in by callback, bytes out through a buffer that is written
+// once per turn of the loop. A connection that goes silent is ended by TCP's own timers.
+#pragma once
+
+#include "state/Time.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Ebonystack {
+
+/// How a connection ended.
+enum class StreamEnd {
+    Closed, ///< the other side closed in order
+    Broken, ///< reset, or silent for too long
+};
+
+/// Belongs to the event loop's thread. Calls neither callback after `close`.
+class ByteStream : public std::enable_shared_from_this<ByteStream> {
+public:
+    using OnBytes = std::function<void(std::string_view)>;
+    using OnEnd = std::function<void(StreamEnd)>;
+
+    explicit ByteStream(boost::asio::ip::tcp::socket);
+    ByteStream(const ByteStream&) = delete;
+    ByteStream& operator=(const ByteStream&) = delete;
+
+    /// Begins to read. `onEnd` is called once, when the other side ends the connection.
+    void start(OnBytes onBytes, OnEnd onEnd);
+    void write(std::string_view bytes);
+    /// Bytes that the other side has not taken yet.
+    std::size_t unsent() const { return m_output.size() - m_sent; }
+    /// Closes once all is written; what arrives until then is discarded.
+    void closeAfterWriting();
+    void close();
+    bool isOpen() const { return m_socket.is_open(); }
+    /// Whether the other side has closed or sent something that was not read yet; asks the socket.
+    bool hasNews();
+
+private:
+    void awaitReadable();
+    void onReadable();
+    void flush();
+    void awaitWritable();
+    void end(StreamEnd);
+    void finishClosing();
+
+    boost::asio::ip::tcp::socket m_socket;
+    OnBytes m_onBytes;
+    OnEnd m_onEnd;
+    std::string m_output;
+    std::size_t m_sent { 0 }; // of m_output
+    bool m_flushPosted { false };
+    bool m_awaitsWritable { false };
+    bool m_closesAfterWriting { false };
+};
+
+/// Opens connections, at most one call of `done` each: null when there is none after `timeout`.
+void connectStream(boost::asio::io_context&, const std::string& address, Duration timeout,
+    std::function<void(std::shared_ptr<ByteStream>)> done);
+
+} // namespace Ebonystack
--- a/src/transport/ClientConnection.h
+++ b/src/transport/ClientConnection.h
@@ -4,7 +4,7 @@
 #include "state/Time.h"
 #include "transport/Awaitable.h"
 #include "transport/HttpAddress.h"
-#include "transport/HttpMessage.h"
+#include "protocol/HttpMessage.h"
 #include "transport/PeerSecurity.h"
 
 #include <boost/asio/any_io_executor.hpp>
--- /dev/null
+++ b/src/transport/EntryService.cpp
@@ -0,0 +1,704 @@
+// Calls of the entry, from the caller's request to its one answer.
+#include "transport/EntryService.h"
+
+#include "transport/SystemClock.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <unordered_map>
+
+namespace Ebonystack {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint16_t statusRequestTimeout = 408;
+constexpr std::uint16_t statusMisdirected = 421;
+constexpr std::uint16_t statusTooManyRequests = 429;
+constexpr std::uint16_t statusFirstServerError = 500;
+constexpr std::uint16_t statusBadGateway = 502;
+constexpr std::uint16_t statusUnavailable = 503;
+
+/// For requests without a deadline on routes without a timeout.
+constexpr Duration longestCall = 60s;
+/// An answer that the upstream sends at the deadline is still on its way for about this long.
+constexpr Duration transitTime = 70ms;
+/// Added to the operator's timeout: an answer that is about to come serves the caller better than a failure
+/// at the stroke, and the operator's bound on late answers is longer.
+constexpr Duration timeoutSlack = 100ms;
+/// How long a request waits for a VM when there is none: entries and links come back within moments.
+constexpr Duration placeWait = 250ms;
+constexpr Duration placeInterval = 25ms;
+/// Placements of one request at nodes that turned it back without running it.
+constexpr int mostPlacements = 4;
+/// Without an answer from the team's home within this time, the entry falls back on its share of the plan.
+constexpr Duration tokenTimeout = 120ms;
+/// The part of its equal share of a plan that an entry without a home grants.
+constexpr double fallbackShare = 0.7;
+/// A deadline below this part of the usual one of a route is that of a request that has come back.
+constexpr double returningDeadline = 0.97;
+/// The usual deadline fades by this factor with each request, so that a change is followed.
+constexpr double usualDeadlineFade = 0.9995;
+/// Callers follow advice up to about this part of the time that they have left.
+constexpr double adviceShareOfDeadline = 0.32;
+/// Advice to callers of a node that is starting, or has found no VM.
+constexpr Duration shortAdvice = 300ms;
+constexpr Duration leastAdvice = 60ms;
+/// Rank of calls of upstreams at gates: the work for their request is already under way.
+constexpr int innerRank = -1;
+/// For routes that state no target latency.
+constexpr Duration assumedTarget = 1s;
+
+std::string secondsText(Duration duration)
+{
+    std::array<char, 32> text {};
+    const auto length = std::snprintf(text.data(), text.size(), "%.3f", toSeconds(duration));
+    return { text.data(), static_cast<std::size_t>(length) };
+}
+
+std::optional<Duration> readDeadline(const HttpFields& fields, const std::string& name)
+{
+    const auto value = fields.find(name);
+    std::uint64_t milliseconds = 0;
+    if (!value)
+        return std::nullopt;
+    const auto [end, error] = std::from_chars(value->data(), value->data() + value->size(), milliseconds);
+    if (error != std::errc() || milliseconds > static_cast<std::uint64_t>(toMilliseconds(longestCall)) * 60)
+        return std::nullopt;
+    return std::chrono::milliseconds(milliseconds);
+}
+
+} // namespace
+
+class EntryService::Internals : public std::enable_shared_from_this<Internals> {
+public:
+    struct Call {
+        CallId id { 0 };
+        HttpRequest request; // its fields as the upstream is to get them
+        Respond respond;
+        std::shared_ptr<const ServingIndex> config; // keeps `route` alive
+        const ServingRoute* route { nullptr };
+        ServiceName service; // the share of the route that it fell to
+        std::optional<TeamId> team;
+        int priority { 0 };
+        bool inner { false }; // a call of the upstream beside this node
+        bool returning { false };
+        std::string requestId; // the caller's
+        Instant begunAt;
+        Instant answerBy; // the caller or the operator waits no longer
+        std::vector<VmId> tried;
+        int placements { 0 };
+        std::uint32_t arrivals { 0 }; // at upstreams
+        bool mayHaveRun { false };
+        std::uint64_t hop { 0 }; // the attempt under way; 0: none
+        VmId hopVm;
+        std::optional<HopAnswer> lastFailure; // an upstream's own failure, to be delivered if nothing better comes
+        std::optional<TimerId> timer;
+        bool repeated { false };
+    };
+    using CallPtr = std::shared_ptr<Call>;
+
+    Internals(SidecarState& shared, HopPath& hops, std::uint64_t seed)
+        : state(shared)
+        , path(hops)
+        , random(seed)
+        , admission(seed + 1)
+        , fallback(1)
+        , nextHop(1)
+    {
+    }
+
+    const FieldNames& names() const { return state.dialect.fieldNames(); }
+
+    // Taking a request in.
+
+    CallId begin(HttpRequest request, Respond respond)
+    {
+        auto call = std::make_shared<Call>();
+        call->id = nextCall++;
+        call->begunAt = monotonicNow();
+        call->request = std::move(request);
+        call->respond = std::move(respond);
+        call->requestId = call->request.head.fields.find(names().requestId).value_or("");
+        calls[call->id] = call;
+        if (const auto refusal = prepare(*call))
+            refuse(call, *refusal);
+        else if (call->team && !call->inner)
+            takeToken(call);
+        else
+            admit(call);
+        return call->id;
+    }
+
+    std::optional<Refusal> prepare(Call& call)
+    {
+        call.config = state.config;
+        if (!call.config)
+            return notRun(ResultCode::NodeStarting, "no configuration yet", shortAdvice);
+        if (call.requestId.empty())
+            return notRun(ResultCode::RequestMalformed, "the request has no " + names().requestId);
+        const HttpFields& fields = call.request.head.fields;
+        call.route = call.config->findRoute(fields.find("Host").value_or(""), pathOf(call.request.head.target));
+        if (!call.route)
+            return notRun(ResultCode::RouteUnknown, "no route has this host and path");
+        if (auto refusal = authenticate(call))
+            return refusal;
+        setTimes(call);
+        call.service = split.next(*call.route);
+        setFields(call);
+        if (call.inner)
+            state.costs.called(call.route->id);
+        return std::nullopt;
+    }
+
+    std::optional<Refusal> authenticate(Call& call)
+    {
+        call.priority = call.route->priority;
+        const auto key = keyOf(call.request.head.fields);
+        const ServedTeam* team = key ? call.config->teamOfKey(*key) : nullptr;
+        if (team) {
+            call.team = team->id;
+            call.priority = team->priority.value_or(call.priority);
+            return std::nullopt;
+        }
+        call.inner = call.config->config().hasTeams && call.route->open;
+        if (call.inner || !call.config->config().hasTeams)
+            return std::nullopt;
+        return key ? notRun(ResultCode::KeyUnknown, "no team holds this key")
+                   : notRun(ResultCode::KeyMissing, "the route needs a key");
+    }
+
+    std::optional<std::string_view> keyOf(const HttpFields& fields) const
+    {
+        auto value = fields.find(names().key);
+        const std::string& scheme = names().keyScheme;
+        if (!value || value->size() <= scheme.size() || !sameFieldName(value->substr(0, scheme.size()), scheme))
+            return std::nullopt;
+        value->remove_prefix(scheme.size());
+        while (!value->empty() && value->front() == ' ')
+            value->remove_prefix(1);
+        return value;
+    }
+
+    void setTimes(Call& call)
+    {
+        const ServingRoute& route = *call.route;
+        const Duration timeout = route.timeout > Duration::zero() ? route.timeout + timeoutSlack : longestCall;
+        const auto deadline = readDeadline(call.request.head.fields, names().deadline);
+        call.answerBy = call.begunAt + std::min(timeout, deadline.value_or(timeout));
+        if (!deadline || call.inner)
+            return;
+        double& usual = usualDeadlines[route.id];
+        const double seconds = toSeconds(*deadline);
+        call.returning = seconds < usual * returningDeadline;
+        usual = std::max(usual * usualDeadlineFade, seconds);
+    }
+
+    /// Leaves of the caller's fields what the upstream is to get, and adds the node's own.
+    void setFields(Call& call)
+    {
+        HttpFields& fields = call.request.head.fields;
+        removeHopByHopFields(fields);
+        const std::array own { &names().deadline, &names().team, &names().expectedInstance,
+            &names().callerService, &names().key, &names().notRun, &names().instance, &names().load,
+            &names().seal };
+        fields.removeIf([&](const HttpField& field) {
+            return std::ranges::any_of(own, [&](const auto* name) { return sameFieldName(field.name, *name); });
+        });
+        fields.add(names().callerService, state.settings.service.text);
+        if (call.team)
+            fields.add(names().team, call.team->text);
+    }
+
+    // Tokens of the team's plan.
+
+    void takeToken(const CallPtr& call)
+    {
+        const Instant now = monotonicNow();
+        const ServedTeam* team = call->config->findTeam(*call->team);
+        if (team->plan.ratePerSecond <= 0 || stash.use(*call->team, now))
+            return admit(call);
+        const auto home = homeOf(*call->team, state.directory.vms());
+        const TokenAsk ask { nextAsk++, *call->team, stash.wanted(*call->team, now) };
+        ++state.counters.tokensAsked;
+        asks[ask.number] = call->id;
+        if (!home || !path.askTokens(*home, ask)) {
+            asks.erase(ask.number);
+            return takeFallback(call, "no link to the home of the team's plan");
+        }
+        state.timers.at(now + tokenTimeout, [weak = weak_from_this(), number = ask.number](Instant) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            if (const auto waiting = self->takeAsk(number))
+                self->takeFallback(waiting, "no answer from the home of the team's plan");
+        });
+    }
+
+    /// The call that waits for the answer to an ask; null when there is none any more.
+    CallPtr takeAsk(std::uint64_t number)
+    {
+        const auto found = asks.find(number);
+        if (found == asks.end())
+            return nullptr;
+        const auto call = calls.find(found->second);
+        asks.erase(found);
+        return call == calls.end() ? nullptr : call->second;
+    }
+
+    void onTokens(const TokenAnswer& answer)
+    {
+        const CallPtr call = takeAsk(answer.number);
+        if (!call)
+            return;
+        if (answer.tokens == 0)
+            return refuse(call,
+                notRun(ResultCode::PlanExceeded, "the team has used its rate and burst",
+                    adviceWithin(*call, std::max(answer.retryAfter, leastAdvice))));
+        stash.add(*call->team, answer.tokens - 1, monotonicNow());
+        admit(call);
+    }
+
+    void takeFallback(const CallPtr& call, const std::string& reason)
+    {
+        const Instant now = monotonicNow();
+        const ServedTeam* team = call->config->findTeam(*call->team);
+        fallback.setShare(fallbackShare / static_cast<double>(std::max<std::size_t>(state.directory.vms().size(), 1)));
+        const TokenGrant grant = fallback.take(team->id, team->plan, 1, now);
+        if (grant.tokens > 0)
+            return admit(call);
+        refuse(call,
+            notRun(ResultCode::PlanGrantsUnavailable, reason, adviceWithin(*call, std::max(grant.retryAfter, leastAdvice))));
+    }
+
+    // Admission and placement.
+
+    DemandClass classOf(const Call& call) const { return { call.route->id, call.priority, call.returning }; }
+
+    void admit(const CallPtr& call)
+    {
+        const Instant now = monotonicNow();
+        if (!call->inner && !admission.admit(classOf(*call), now)) {
+            if (call->team)
+                stash.add(*call->team, 1, now);
+            return refuse(call,
+                notRun(ResultCode::ShedByWorth,
+                    "admitted share " + std::to_string(admission.admittedShare(classOf(*call))),
+                    returnAdvice(*call)));
+        }
+        place(call);
+    }
+
+    /// When a refused request should come back: spread over the time in which it can still be answered within
+    /// its target, so that returns don't come together.
+    Duration returnAdvice(const Call& call)
+    {
+        const Duration target
+            = call.route->targetLatency > Duration::zero() ? call.route->targetLatency : assumedTarget;
+        const double spread = 0.3 + 0.4 * random.unit();
+        return adviceWithin(call, fromSeconds(toSeconds(target) * spread));
+    }
+
+    Duration adviceWithin(const Call& call, Duration wanted) const
+    {
+        const auto deadline = readDeadlineLeft(call);
+        return std::max(leastAdvice, std::min(wanted, fromSeconds(toSeconds(deadline) * adviceShareOfDeadline)));
+    }
+
+    /// The time that the caller has left, beyond the route's timeout.
+    Duration readDeadlineLeft(const Call& call) const
+    {
+        const auto usual = usualDeadlines.find(call.route->id);
+        if (usual == usualDeadlines.end())
+            return call.answerBy - monotonicNow();
+        return std::max(leastAdvice, fromSeconds(usual->second) - (monotonicNow() - call.begunAt));
+    }
+
+    std::vector<const KnownUpstream*> reachable(const ServiceName& service) const
+    {
+        auto upstreams = state.directory.usable(service);
+        std::erase_if(upstreams, [&](const KnownUpstream* upstream) { return !path.canReach(upstream->entry.vm); });
+        return upstreams;
+    }
+
+    void place(const CallPtr& call)
+    {
+        const Instant now = monotonicNow();
+        if (now >= call->answerBy)
+            return giveUp(call, "the time was over before it could be placed");
+        const KnownUpstream* chosen = state.choice.choose(reachable(call->service), call->tried, now);
+        if (!chosen)
+            return waitForVm(call, now);
+        HopRequest request;
+        request.number = nextHop++;
+        request.route = call->route->id;
+        request.timeLeft = call->answerBy - now;
+        request.targetLeft = request.timeLeft;
+        request.rank = call->inner ? innerRank : call->priority;
+        request.repeatable = call->route->repeatable;
+        request.instance = chosen->entry.instance;
+        request.method = call->request.head.method;
+        request.target = call->request.head.target;
+        request.fields = call->request.head.fields;
+        request.body = call->request.body;
+        const VmId vm = chosen->entry.vm;
+        call->hop = request.number;
+        call->hopVm = vm;
+        ++call->placements;
+        hops[request.number] = call->id;
+        if (call->arrivals == 0)
+            state.repeats.countFirst(call->service, now);
+        state.choice.started(vm);
+        armTimer(call);
+        state.log.request("sent to upstream", call->requestId, now, [&] {
+            return nlohmann::json { { "vm", vm.text }, { "instance", request.instance.text },
+                { "route", call->route->id.text }, { "service", call->service.text },
+                { "version", call->config->config().version }, { "inner", call->inner },
+                { "leftMs", toMilliseconds(request.timeLeft) }, { "placement", call->placements } };
+        });
+        path.sendRequest(vm, std::move(request));
+    }
+
+    void waitForVm(const CallPtr& call, Instant now)
+    {
+        const bool mayWait = call->tried.empty() && now - call->begunAt < placeWait;
+        if (!mayWait)
+            return giveUp(call, call->tried.empty() ? "no VM of the service can be reached" : "no other VM is left");
+        state.timers.at(now + placeInterval, [weak = weak_from_this(), id = call->id](Instant) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            const auto found = self->calls.find(id);
+            if (found != self->calls.end() && found->second->hop == 0)
+                self->place(found->second);
+        });
+    }
+
+    void armTimer(const CallPtr& call)
+    {
+        if (call->timer)
+            return;
+        call->timer = state.timers.at(call->answerBy + transitTime, [weak = weak_from_this(), id = call->id](Instant) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            const auto found = self->calls.find(id);
+            if (found != self->calls.end())
+                self->onTimeout(found->second);
+        });
+    }
+
+    void onTimeout(const CallPtr& call)
+    {
+        call->timer.reset();
+        if (call->hop != 0) {
+            call->mayHaveRun = true;
+            cancelHop(*call);
+        }
+        giveUp(call, "no answer within the time");
+    }
+
+    // What comes back.
+
+    void onAnswer(const VmId& vm, HopAnswer answer)
+    {
+        const Instant now = monotonicNow();
+        state.choice.observe(vm, answer.load, now);
+        const auto hop = hops.find(answer.number);
+        if (hop == hops.end())
+            return; // given up before
+        const auto found = calls.find(hop->second);
+        hops.erase(hop);
+        if (found == calls.end())
+            return;
+        const CallPtr call = found->second;
+        call->hop = 0;
+        state.costs.learn(call->route->id, answer.costs);
+        state.choice.ended(vm, isFailure(answer), now);
+        if (answer.arrived)
+            ++call->arrivals;
+        switch (answer.outcome) {
+        case HopOutcome::Answered:
+            return onUpstreamAnswer(call, vm, std::move(answer));
+        case HopOutcome::NotRun:
+            return onNotRun(call, vm, answer);
+        case HopOutcome::Broken:
+            call->mayHaveRun = true;
+            return onBroken(call, vm, describe(answer.reason));
+        }
+    }
+
+    /// Whether an answer speaks against the upstream.
+    static bool isFailure(const HopAnswer& answer)
+    {
+        if (answer.outcome == HopOutcome::Answered)
+            return answer.status >= statusFirstServerError;
+        return answer.outcome == HopOutcome::Broken || answer.reason == HopReason::UpstreamShed
+            || answer.reason == HopReason::UpstreamDown || answer.reason == HopReason::WrongInstance;
+    }
+
+    void onUpstreamAnswer(const CallPtr& call, const VmId& vm, HopAnswer answer)
+    {
+        const bool failed = answer.status >= statusFirstServerError;
+        if (failed) {
+            call->mayHaveRun = true;
+            if (mayRepeat(*call)) {
+                call->lastFailure = std::move(answer);
+                return repeat(call, vm, "the upstream failed");
+            }
+        }
+        deliver(call, std::move(answer));
+    }
+
+    void onNotRun(const CallPtr& call, const VmId& vm, const HopAnswer& answer)
+    {
+        call->tried.push_back(vm);
+        const Instant now = monotonicNow();
+        const bool inTime = now < call->answerBy && call->placements < mostPlacements;
+        // An upstream that turned the request away has seen it, and the next one would see it again.
+        const bool allowed = !answer.arrived
+            || (call->arrivals < call->route->maxAttempts && state.repeats.spend(call->service, now));
+        if (inTime && allowed)
+            return place(call);
+        giveUp(call, std::string("not run: ") + std::string(describe(answer.reason)));
+    }
+
+    void onBroken(const CallPtr& call, const VmId& vm, std::string_view reason)
+    {
+        if (mayRepeat(*call))
+            return repeat(call, vm, reason);
+        giveUp(call, reason);
+    }
+
+    /// Whether the request may go to a second upstream after it may have run at one; takes it from the budget.
+    bool mayRepeat(const Call& call)
+    {
+        const Instant now = monotonicNow();
+        const Duration usual = state.costs.holdOf(call.route->id, Duration::zero());
+        return call.route->repeatable && call.arrivals < call.route->maxAttempts
+            && call.placements < mostPlacements && now + usual < call.answerBy
+            && state.repeats.spend(call.service, now);
+    }
+
+    void repeat(const CallPtr& call, const VmId& vm, std::string_view reason)
+    {
+        ++state.counters.repeats;
+        call->repeated = true;
+        state.log.request("sent again", call->requestId, monotonicNow(), [&] {
+            return nlohmann::json { { "failedVm", vm.text }, { "reason", reason } };
+        });
+        call->tried.push_back(vm);
+        place(call);
+    }
+
+    // Ending a call.
+
+    void deliver(const CallPtr& call, HopAnswer answer)
+    {
+        // Statuses that promise "not run" are a promise only with the upstream's own mark, which these lack.
+        const bool promises = answer.status == statusRequestTimeout || answer.status == statusMisdirected
+            || answer.status == statusTooManyRequests || answer.status == statusUnavailable;
+        if (promises && !call->route->repeatable)
+            return refuse(call,
+                { ResultCode::OutcomeUnknown, Ran::Unknown, Duration::zero(),
+                    "the upstream answered " + std::to_string(answer.status) });
+        HttpResponse response;
+        response.head.status = answer.status;
+        response.head.fields = std::move(answer.fields);
+        response.body = std::move(answer.body);
+        ++state.counters.callerAnswers[{ call->route->id.text, std::to_string(answer.status / 100) + "xx" }];
+        state.log.request("delivered", call->requestId, monotonicNow(), [&] {
+            return nlohmann::json { { "status", answer.status }, { "vm", call->hopVm.text },
+                { "tookMs", toMilliseconds(monotonicNow() - call->begunAt) }, { "repeated", call->repeated } };
+        });
+        end(call, std::move(response));
+    }
+
+    /// Ends a call that can't be served, with the answer that is true.
+    void giveUp(const CallPtr& call, std::string_view reason)
+    {
+        if (call->lastFailure)
+            return deliver(call, std::move(*call->lastFailure));
+        const bool late = monotonicNow() >= call->answerBy;
+        if (!call->mayHaveRun)
+            return refuse(call,
+                notRun(late ? ResultCode::DeadlineTooNear : ResultCode::NoVmAvailable, std::string(reason),
+                    adviceWithin(*call, shortAdvice)));
+        refuse(call,
+            { late ? ResultCode::DeadlineExceeded : ResultCode::OutcomeUnknown, Ran::Unknown, Duration::zero(),
+                std::string(reason) });
+    }
+
+    void refuse(const CallPtr& call, const Refusal& refusal)
+    {
+        const ResultCodeInfo& info = describe(refusal.code);
+        HttpResponse response;
+        response.head.status = info.httpStatus;
+        if (!call->requestId.empty())
+            response.head.fields.add(names().requestId, call->requestId);
+        response.head.fields.add("Ebony-Result", std::to_string(static_cast<int>(refusal.code)));
+        if (refusal.retryAfter > Duration::zero())
+            response.head.fields.add("Retry-After", secondsText(refusal.retryAfter));
+        ++state.counters.refusals[std::string(info.name)];
+        state.log.failure("refused", call->requestId, monotonicNow(), [&] {
+            return nlohmann::json { { "code", static_cast<int>(refusal.code) }, { "name", info.name },
+                { "ran", describe(refusal.ran) }, { "explanation", refusal.explanation },
+                { "route", call->route ? call->route->id.text : "" }, { "service", call->service.text },
+                { "team", call->team ? call->team->text : "" }, { "inner", call->inner },
+                { "returning", call->returning }, { "vm", call->hopVm.text },
+                { "version", call->config ? call->config->config().version : 0 },
+                { "retryAfterMs", toMilliseconds(refusal.retryAfter) },
+                { "tookMs", toMilliseconds(monotonicNow() - call->begunAt) } };
+        });
+        end(call, std::move(response));
+    }
+
+    void end(const CallPtr& call, HttpResponse response)
+    {
+        forget(*call);
+        call->respond(std::move(response));
+    }
+
+    void forget(const Call& call)
+    {
+        if (call.timer)
+            state.timers.cancel(*call.timer);
+        calls.erase(call.id);
+    }
+
+    void cancelHop(Call& call)
+    {
+        hops.erase(call.hop);
+        state.choice.ended(call.hopVm, false, monotonicNow());
+        path.sendCancel(call.hopVm, call.hop);
+        call.hop = 0;
+    }
+
+    void cancel(CallId id)
+    {
+        const auto found = calls.find(id);
+        if (found == calls.end())
+            return;
+        const CallPtr call = found->second;
+        ++state.counters.cancelled;
+        state.log.request("caller gone", call->requestId, monotonicNow(), [&] {
+            return nlohmann::json { { "tookMs", toMilliseconds(monotonicNow() - call->begunAt) },
+                { "vm", call->hopVm.text } };
+        });
+        if (call->hop != 0)
+            cancelHop(*call);
+        forget(*call);
+    }
+
+    // Links.
+
+    std::vector<CallPtr> callsAt(const VmId& vm) const
+    {
+        std::vector<CallPtr> found;
+        for (const auto& [id, call] : calls) {
+            if (call->hop != 0 && call->hopVm == vm)
+                found.push_back(call);
+        }
+        return found;
+    }
+
+    void onLinkDown(const VmId& vm)
+    {
+        for (const CallPtr& call : callsAt(vm)) {
+            if (call->route->repeatable)
+                abandonHop(call, vm, "the link to the VM was lost");
+        }
+    }
+
+    void onLinkUp(const VmId& vm, bool sameProcess)
+    {
+        std::vector<std::uint64_t> numbers;
+        for (const CallPtr& call : callsAt(vm)) {
+            if (sameProcess)
+                numbers.push_back(call->hop);
+            else
+                abandonHop(call, vm, "the node of the VM has ended");
+        }
+        path.sendResume(vm, numbers);
+    }
+
+    void abandonHop(const CallPtr& call, const VmId& vm, std::string_view reason)
+    {
+        hops.erase(call->hop);
+        call->hop = 0;
+        ++call->arrivals;
+        call->mayHaveRun = true;
+        state.choice.ended(vm, true, monotonicNow());
+        onBroken(call, vm, reason);
+    }
+
+    void plan(Instant now)
+    {
+        ShedShares shares;
+        std::set<ServiceName> services;
+        if (state.config) {
+            for (const ServingRoute& route : state.config->config().routes) {
+                for (const ServiceShare& share : route.shares)
+                    services.insert(share.service);
+            }
+        }
+        for (const ServiceName& service : services)
+            shares[service] = state.choice.shedShare(state.directory.usable(service), now);
+        admission.plan(shares, state.costs, now);
+        state.log.state("admission plan", now, [&] {
+            nlohmann::json shed = nlohmann::json::object();
+            for (const auto& [service, share] : shares) {
+                if (share > 0.01)
+                    shed[service.text] = share;
+            }
+            return nlohmann::json { { "shed", shed } };
+        });
+    }
+
+    SidecarState& state;
+    HopPath& path;
+    RandomSource random;
+    EntryAdmission admission;
+    ServiceSplit split;
+    TokenStash stash;
+    PlanBuckets fallback;
+    std::map<RouteId, double> usualDeadlines; // seconds
+    std::unordered_map<CallId, CallPtr> calls;
+    std::unordered_map<std::uint64_t, CallId> hops; // attempts under way
+    std::unordered_map<std::uint64_t, CallId> asks; // for tokens
+    CallId nextCall { 1 };
+    std::uint64_t nextHop;
+    std::uint64_t nextAsk { 1 };
+};
+
+EntryService::EntryService(SidecarState& state, HopPath& path, std::uint64_t seed)
+    : m_internals(std::make_shared<Internals>(state, path, seed))
+{
+}
+
+EntryService::~EntryService() = default;
+
+CallId EntryService::begin(HttpRequest request, Respond respond)
+{
+    return m_internals->begin(std::move(request), std::move(respond));
+}
+
+void EntryService::cancel(CallId id) { m_internals->cancel(id); }
+
+void EntryService::onAnswer(const VmId& vm, HopAnswer answer) { m_internals->onAnswer(vm, std::move(answer)); }
+
+void EntryService::onLinkUp(const VmId& vm, bool sameProcess) { m_internals->onLinkUp(vm, sameProcess); }
+
+void EntryService::onLinkDown(const VmId& vm) { m_internals->onLinkDown(vm); }
+
+void EntryService::onTokens(const TokenAnswer& answer) { m_internals->onTokens(answer); }
+
+void EntryService::plan(Instant now) { m_internals->plan(now); }
+
+std::size_t EntryService::open() const { return m_internals->calls.size(); }
+
+} // namespace Ebonystack
--- /dev/null
+++ b/src/transport/EntryService.h
@@ -0,0 +1,62 @@
+// The entry's side of a request: authenticates it, finds its route, takes a token of its team's plan, decides
+// whether to start it, and sends it to the chosen upstream's node; sends it on if it did not run there; and
+// gives the caller exactly one answer, in time.
+#pragma once
+
+#include "coordination/EntryAdmission.h"
+#include "coordination/PlanBuckets.h"
+#include "coordination/ServiceSplit.h"
+#include "transport/HttpCodec.h"
+#include "transport/PeerLinks.h"
+#include "transport/SidecarState.h"
+
+#include <functional>
+#include <memory>
+
+namespace Ebonystack {
+
+using CallId = std::uint64_t;
+
+/// How the entry reaches other nodes, itself among them.
+class HopPath {
+public:
+    virtual ~HopPath() = default;
+
+    /// Whether the node of a VM can be reached.
+    virtual bool canReach(const VmId&) const = 0;
+    virtual bool sendRequest(const VmId&, HopRequest) = 0;
+    virtual void sendCancel(const VmId&, std::uint64_t number) = 0;
+    virtual void sendResume(const VmId&, const std::vector<std::uint64_t>& numbers) = 0;
+    /// Asks a team's home for tokens; the answer comes back by `EntryService::onTokens`.
+    virtual bool askTokens(const VmId& home, const TokenAsk&) = 0;
+};
+
+/// Belongs to the event loop's thread.
+class EntryService {
+public:
+    using Respond = std::function<void(HttpResponse)>;
+
+    EntryService(SidecarState&, HopPath&, std::uint64_t seed);
+    ~EntryService();
+
+    /// Takes a caller's request. `respond` is called once, unless the call is cancelled before.
+    CallId begin(HttpRequest, Respond respond);
+    /// The caller is gone.
+    void cancel(CallId);
+
+    void onAnswer(const VmId&, HopAnswer);
+    void onLinkUp(const VmId&, bool sameProcess);
+    void onLinkDown(const VmId&);
+    void onTokens(const TokenAnswer&);
+
+    /// Recomputes what share of the demand is admitted. Call it a few times a second.
+    void plan(Instant now);
+
+    std::size_t open() const;
+
+private:
+    class Internals;
+    std::shared_ptr<Internals> m_internals;
+};
+
+} // namespace Ebonystack
--- /dev/null
+++ b/src/transport/HttpCodec.cpp
@@ -0,0 +1,226 @@
+// The codec over the HTTP library's parsers.
+#include "transport/HttpCodec.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace Ebonystack {
+namespace {
+
+namespace Http = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+
+std::string toStdString(boost::beast::string_view text) { return { text.data(), text.size() }; }
+
+template <typename Fields> HttpFields copyFields(const Fields& from)
+{
+    HttpFields to;
+    for (const auto& field : from)
+        to.add(toStdString(field.name_string()), toStdString(field.value()));
+    return to;
+}
+
+/// Feeds a parser; an error other than the wish for more bytes ends up in `error`.
+template <typename Parser> std::size_t feedParser(Parser& parser, std::string_view bytes, ErrorCode& error)
+{
+    std::size_t used = 0;
+    while (used < bytes.size() && !parser.is_done()) {
+        const std::size_t count = parser.put(boost::asio::buffer(bytes.substr(used)), error);
+        used += count;
+        if (error == Http::error::need_more) {
+            error = {};
+            break;
+        }
+        if (error || count == 0)
+            break;
+    }
+    return used;
+}
+
+Refusal refusalFor(const ErrorCode& error)
+{
+    if (error == Http::error::header_limit)
+        return notRun(ResultCode::HeaderTooLarge, "the header is larger than the limit");
+    if (error == Http::error::body_limit)
+        return notRun(ResultCode::BodyTooLarge, "the body is larger than the limit");
+    if (error == Http::error::bad_content_length || error == Http::error::multiple_content_length
+        || error == Http::error::bad_transfer_encoding)
+        return notRun(ResultCode::LengthConflict, error.message());
+    return notRun(ResultCode::RequestMalformed, error.message());
+}
+
+void appendFields(std::string& text, const HttpFields& fields)
+{
+    for (const HttpField& field : fields.all()) {
+        text += field.name;
+        text += ": ";
+        text += field.value;
+        text += "\r\n";
+    }
+}
+
+bool methodHasBody(std::string_view method) { return method == "POST" || method == "PUT" || method == "PATCH"; }
+
+} // namespace
+
+class RequestParser::Internals {
+public:
+    Internals(std::uint32_t headerBytes, std::uint64_t bodyBytes)
+    {
+        parser.header_limit(headerBytes);
+        parser.body_limit(bodyBytes);
+        parser.eager(true);
+    }
+
+    Http::request_parser<Http::string_body> parser;
+    std::optional<Refusal> refusal;
+};
+
+RequestParser::RequestParser(std::uint32_t headerBytes, std::uint64_t bodyBytes)
+    : m_internals(std::make_unique<Internals>(headerBytes, bodyBytes))
+{
+}
+
+RequestParser::~RequestParser() = default;
+RequestParser::RequestParser(RequestParser&&) noexcept = default;
+RequestParser& RequestParser::operator=(RequestParser&&) noexcept = default;
+
+std::size_t RequestParser::feed(std::string_view bytes)
+{
+    ErrorCode error;
+    const std::size_t used = feedParser(m_internals->parser, bytes, error);
+    if (error)
+        m_internals->refusal = refusalFor(error);
+    const auto& message = m_internals->parser.get();
+    // A message with both lengths may be read differently by the next reader.
+    if (!error && m_internals->parser.is_header_done() && message.chunked()
+        && message.count(Http::field::content_length) > 0)
+        m_internals->refusal = notRun(ResultCode::LengthConflict, "both a length and chunks");
+    return used;
+}
+
+bool RequestParser::headDone() const { return m_internals->parser.is_header_done(); }
+
+bool RequestParser::done() const { return m_internals->parser.is_done(); }
+
+const std::optional<Refusal>& RequestParser::refusal() const { return m_internals->refusal; }
+
+bool RequestParser::expectsContinue() const
+{
+    return headDone() && !done() && m_internals->parser.get().count(Http::field::expect) > 0;
+}
+
+HttpRequest RequestParser::take()
+{
+    auto message = m_internals->parser.release();
+    HttpRequest request;
+    request.head.method = toStdString(message.method_string());
+    request.head.target = toStdString(message.target());
+    request.head.fields = copyFields(message);
+    request.head.keepAlive = message.keep_alive();
+    request.body = std::move(message.body());
+    request.head.bodyLength = request.body.size();
+    return request;
+}
+
+class ResponseParser::Internals {
+public:
+    Internals(bool toHead, std::uint64_t bodyBytes)
+    {
+        parser.skip(toHead);
+        parser.body_limit(bodyBytes);
+        parser.eager(true);
+    }
+
+    Http::response_parser<Http::string_body> parser;
+    bool failed { false };
+};
+
+ResponseParser::ResponseParser(bool toHead, std::uint64_t bodyBytes)
+    : m_internals(std::make_unique<Internals>(toHead, bodyBytes))
+{
+}
+
+ResponseParser::~ResponseParser() = default;
+ResponseParser::ResponseParser(ResponseParser&&) noexcept = default;
+ResponseParser& ResponseParser::operator=(ResponseParser&&) noexcept = default;
+
+std::size_t ResponseParser::feed(std::string_view bytes)
+{
+    ErrorCode error;
+    const std::size_t used = feedParser(m_internals->parser, bytes, error);
+    if (error)
+        m_internals->failed = true;
+    return used;
+}
+
+void ResponseParser::feedEnd()
+{
+    ErrorCode error;
+    if (m_internals->parser.is_header_done() && !m_internals->parser.is_done())
+        m_internals->parser.put_eof(error);
+    if (error || !m_internals->parser.is_done())
+        m_internals->failed = true;
+}
+
+bool ResponseParser::started() const { return m_internals->parser.got_some(); }
+
+bool ResponseParser::done() const { return m_internals->parser.is_done() && !m_internals->failed; }
+
+bool ResponseParser::failed() const { return m_internals->failed; }
+
+bool ResponseParser::endsWithConnection() const
+{
+    return m_internals->parser.is_header_done() && m_internals->parser.need_eof();
+}
+
+HttpResponse ResponseParser::take()
+{
+    auto message = m_internals->parser.release();
+    HttpResponse response;
+    response.head.status = static_cast<std::uint16_t>(message.result_int());
+    response.head.fields = copyFields(message);
+    response.head.keepAlive = message.keep_alive();
+    response.body = std::move(message.body());
+    response.head.bodyLength = response.body.size();
+    return response;
+}
+
+std::string writeRequest(const RequestHead& head, std::string_view body)
+{
+    std::string text = head.method + ' ' + head.target + " HTTP/1.1\r\n";
+    appendFields(text, head.fields);
+    if (!body.empty() || methodHasBody(head.method))
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    text += "\r\n";
+    text += body;
+    return text;
+}
+
+std::string writeResponse(const ResponseHead& head, std::string_view body, bool toHead)
+{
+    constexpr std::uint16_t noContent = 204;
+    constexpr std::uint16_t notModified = 304;
+    std::string text = "HTTP/1.1 " + std::to_string(head.status) + ' ' + std::string(reasonPhrase(head.status))
+        + "\r\n";
+    appendFields(text, head.fields);
+    const bool mayHaveBody = head.status >= 200 && head.status != noContent && head.status != notModified;
+    if (mayHaveBody && (!toHead || head.bodyLength.value_or(0) > 0))
+        text += "Content-Length: " + std::to_string(toHead ? head.bodyLength.value_or(0) : body.size()) + "\r\n";
+    if (!head.keepAlive)
+        text += "Connection: close\r\n";
+    text += "\r\n";
+    if (mayHaveBody && !toHead)
+        text += body;
+    return text;
+}
+
+std::string_view reasonPhrase(std::uint16_t status)
+{
+    const auto phrase = Http::obsolete_reason(static_cast<Http::status>(status));
+    return { phrase.data(), phrase.size() };
+}
+
+} // namespace Ebonystack
--- a/src/transport/RequestCheck.h
+++ b/src/transport/RequestCheck.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "protocol/Refusal.h"
-#include "transport/HttpMessage.h"
+#include "protocol/HttpMessage.h"
 
 #include <optional>
 
--- a/src/transport/ServerConnection.h
+++ b/src/transport/ServerConnection.h
@@ -4,7 +4,7 @@
 #include "protocol/Refusal.h"
 #include "protocol/Settings.h"
 #include "transport/Awaitable.h"
-#include "transport/HttpMessage.h"
+#include "protocol/HttpMessage.h"
 #include "transport/PeerSecurity.h"
 
 #include <boost/asio/ip/tcp.hpp>
--- /dev/null
+++ b/src/transport/SidecarMetrics.h
@@ -0,0 +1,31 @@
+// The metrics page of a sidecar.
+#pragma once
+
+#include "state/UpstreamLoad.h"
+#include "transport/SidecarState.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace Ebonystack {
+
+/// Gauges of the parts, read for one page.
+struct SidecarFigures {
+    UpstreamLoad load;
+    std::size_t callerConnections { 0 };
+    std::size_t upstreamConnections { 0 };
+    std::uint64_t upstreamConnectionsOpened { 0 };
+    std::size_t linksUp { 0 };
+    std::uint64_t storeCalls { 0 };
+    std::size_t openCalls { 0 };
+    std::size_t openHops { 0 };
+    std::uint64_t storeRevision { 0 };
+
+    auto operator<=>(const SidecarFigures&) const = default;
+};
+
+/// The Prometheus text format.
+std::string writeSidecarMetrics(const SidecarState&, const SidecarFigures&);
+
+} // namespace Ebonystack
--- /dev/null
+++ b/src/transport/SidecarState.h
@@ -0,0 +1,60 @@
+// What the parts of one sidecar share. Everything belongs to the event loop's thread.
+#pragma once
+
+#include "coordination/CallCosts.h"
+#include "coordination/PressureControl.h"
+#include "coordination/RepeatBudget.h"
+#include "coordination/TimerService.h"
+#include "coordination/UpstreamChoice.h"
+#include "coordination/UpstreamDirectory.h"
+#include "protocol/PlatformDialect.h"
+#include "protocol/SidecarSettings.h"
+#include "state/ServingConfig.h"
+#include "transport/DecisionLog.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Ebonystack {
+
+/// Counts and times for the metrics page.
+struct SidecarCounters {
+    std::map<std::pair<std::string, std::string>, std::uint64_t> callerAnswers; ///< by route and result
+    std::map<std::string, std::uint64_t> hopAnswers; ///< by outcome and reason
+    std::map<std::string, std::uint64_t> refusals; ///< of callers, by result code
+    std::uint64_t repeats { 0 };
+    std::uint64_t cancelled { 0 };
+    std::uint64_t tokensAsked { 0 };
+};
+
+struct SidecarState {
+    SidecarState(boost::asio::io_context& context, SidecarSettings given, const PlatformDialect& platform,
+        std::uint64_t seed)
+        : io(context)
+        , settings(std::move(given))
+        , dialect(platform)
+        , costs(settings.service)
+        , choice(settings.dataCentre, seed)
+        , repeats({ settings.repeatRatio, settings.repeatWindow, settings.extraRepeats })
+    {
+    }
+
+    boost::asio::io_context& io;
+    SidecarSettings settings;
+    const PlatformDialect& dialect;
+    TimerService timers;
+    DecisionLog log;
+    std::shared_ptr<const ServingIndex> config; ///< null until one is known
+    UpstreamDirectory directory;
+    CallCosts costs;
+    UpstreamChoice choice;
+    RepeatBudget repeats;
+    bool leaving { false };
+    SidecarCounters counters;
+};
+
+} // namespace Ebonystack
--- /dev/null
+++ b/src/transport/StatusServer.cpp
@@ -0,0 +1,93 @@
+// One page a request; connections are kept.
+#include "transport/StatusServer.h"
+
+#include "transport/ByteStream.h"
+#include "transport/HttpCodec.h"
+#include "transport/StreamAcceptor.h"
+
+#include <set>
+
+namespace Ebonystack {
+namespace {
+
+constexpr std::uint32_t headerBytes = 8192;
+
+} // namespace
+
+class StatusServer::Internals : public std::enable_shared_from_this<Internals> {
+public:
+    struct Connection {
+        std::shared_ptr<ByteStream> stream;
+        RequestParser parser { headerBytes, 0 };
+    };
+    using ConnectionPtr = std::shared_ptr<Connection>;
+
+    explicit Internals(MakePage make)
+        : makePage(std::move(make))
+    {
+    }
+
+    void accept(boost::asio::ip::tcp::socket socket)
+    {
+        auto connection = std::make_shared<Connection>();
+        connection->stream = std::make_shared<ByteStream>(std::move(socket));
+        connections.insert(connection);
+        const std::weak_ptr<Connection> weakConnection = connection;
+        connection->stream->start(
+            [weak = weak_from_this(), weakConnection](std::string_view bytes) {
+                const auto self = weak.lock();
+                const auto held = weakConnection.lock();
+                if (self && held)
+                    self->onBytes(held, bytes);
+            },
+            [weak = weak_from_this(), weakConnection](StreamEnd) {
+                if (const auto self = weak.lock())
+                    self->connections.erase(weakConnection.lock());
+            });
+    }
+
+    void onBytes(const ConnectionPtr& connection, std::string_view bytes)
+    {
+        connection->parser.feed(bytes);
+        if (!connection->parser.done() && !connection->parser.refusal())
+            return;
+        HttpResponse response;
+        if (connection->parser.refusal()) {
+            response.head.status = describe(connection->parser.refusal()->code).httpStatus;
+            response.head.keepAlive = false;
+        } else {
+            const HttpRequest request = connection->parser.take();
+            const StatusPage page = makePage(pathOf(request.head.target));
+            response.head.status = page.status;
+            response.head.fields.add("Content-Type", page.contentType);
+            response.head.keepAlive = request.head.keepAlive;
+            response.body = page.body;
+        }
+        connection->parser = RequestParser(headerBytes, 0);
+        connection->stream->write(writeResponse(response.head, response.body, false));
+        if (!response.head.keepAlive) {
+            connection->stream->closeAfterWriting();
+            connections.erase(connection);
+        }
+    }
+
+    MakePage makePage;
+    std::set<ConnectionPtr> connections;
+    std::unique_ptr<StreamAcceptor> acceptor;
+};
+
+StatusServer::StatusServer(boost::asio::io_context& io, const std::string& address, MakePage makePage)
+    : m_internals(std::make_shared<Internals>(std::move(makePage)))
+{
+    m_internals->acceptor
+        = std::make_unique<StreamAcceptor>(io, address, [weak = std::weak_ptr<Internals>(m_internals)](auto socket) {
+              if (const auto self = weak.lock())
+                  self->accept(std::move(socket));
+          });
+}
+
+StatusServer::~StatusServer() = default;
+
+std::uint16_t StatusServer::port() const { return m_internals->acceptor->port(); }
+
+} // namespace Ebonystack
--- /dev/null
+++ b/src/transport/StoreReader.h
@@ -0,0 +1,42 @@
+// Follows the platform's store: lists each prefix once and then watches it, and lists anew when the store has
+// dropped the history in between. A store that is out of reach or turns this node away is asked again after a
+// jittered pause.
+#pragma once
+
+#include "coordination/StoreMirror.h"
+#include "coordination/TimerService.h"
+#include "protocol/PlatformDialect.h"
+#include "state/RandomSource.h"
+#include "transport/DecisionLog.h"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <optional>
+
+namespace Ebonystack {
+
+/// Belongs to the event loop's thread.
+class StoreReader {
+public:
+    /// What it refers to outlives the reader.
+    StoreReader(boost::asio::io_context&, TimerService&, const PlatformDialect&, StoreMirror&, DecisionLog&,
+        std::string address, std::uint64_t seed);
+    ~StoreReader();
+
+    void start(Instant now);
+    /// A peer holds changes that this reader has not been told of: its connections may be dead.
+    void suspect(Instant now);
+    void setAddress(std::string address);
+
+    /// When a call failed last; nothing before the first failure.
+    std::optional<Instant> failedAt() const;
+    /// When a call succeeded last.
+    std::optional<Instant> heardAt() const;
+    std::uint64_t calls() const;
+
+private:
+    class Internals;
+    std::shared_ptr<Internals> m_internals;
+};
+
+} // namespace Ebonystack
--- /dev/null
+++ b/src/transport/StreamAcceptor.cpp
@@ -0,0 +1,95 @@
+// The accepting loop.
+#include "transport/StreamAcceptor.h"
+
+#include "state/Check.h"
+#include "transport/HttpAddress.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace Ebonystack {
+namespace {
+
+namespace Asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+using Tcp = Asio::ip::tcp;
+
+/// The pause after an accept that failed, for example for want of file descriptors.
+constexpr auto acceptPause = std::chrono::milliseconds(50);
+constexpr int backlog = 1024;
+
+} // namespace
+
+class StreamAcceptor::Internals : public std::enable_shared_from_this<Internals> {
+public:
+    Internals(Asio::io_context& io, Accept take)
+        : acceptor(io)
+        , pause(io)
+        , accept(std::move(take))
+    {
+    }
+
+    void listen(const std::string& text)
+    {
+        const HttpAddress address = HttpAddress::parse(text);
+        ErrorCode error;
+        const Tcp::endpoint endpoint(Asio::ip::make_address(address.host, error), address.port);
+        if (!error)
+            acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            acceptor.bind(endpoint, error);
+        if (!error)
+            acceptor.listen(backlog, error);
+        userCheck(!error, "Can't listen on " + text + ": " + error.message() + ". Give a free address of this VM.");
+    }
+
+    void next()
+    {
+        acceptor.async_accept([self = shared_from_this()](const ErrorCode& error, Tcp::socket socket) {
+            if (error == Asio::error::operation_aborted || !self->acceptor.is_open())
+                return;
+            if (error)
+                return self->retryLater();
+            self->accept(std::move(socket));
+            self->next();
+        });
+    }
+
+    void retryLater()
+    {
+        pause.expires_after(acceptPause);
+        pause.async_wait([self = shared_from_this()](const ErrorCode& error) {
+            if (!error)
+                self->next();
+        });
+    }
+
+    Tcp::acceptor acceptor;
+    Asio::steady_timer pause;
+    Accept accept;
+};
+
+StreamAcceptor::StreamAcceptor(Asio::io_context& io, const std::string& address, Accept accept)
+    : m_internals(std::make_shared<Internals>(io, std::move(accept)))
+{
+    m_internals->listen(address);
+    m_internals->next();
+}
+
+StreamAcceptor::~StreamAcceptor() { close(); }
+
+std::uint16_t StreamAcceptor::port() const
+{
+    ErrorCode ignored;
+    return m_internals->acceptor.local_endpoint(ignored).port();
+}
+
+void StreamAcceptor::close()
+{
+    ErrorCode ignored;
+    m_internals->acceptor.close(ignored);
+    m_internals->pause.cancel();
+}
+
+} // namespace Ebonystack
--- a/tools/bench/BenchLoad.h
+++ b/tools/bench/BenchLoad.h
@@ -2,7 +2,7 @@
 // latencies counted from the intended start of each call.
 #pragma once
 
-#include "transport/HttpMessage.h"
+#include "protocol/HttpMessage.h"
 
 #include <chrono>
 #include <cstdint>
--- a/tools/http/Target.h
+++ b/tools/http/Target.h
@@ -1,7 +1,7 @@
 // The query of a request target.
 #pragma once
 
-#include "transport/HttpMessage.h"
+#include "protocol/HttpMessage.h"
 
 #include <cstdint>
 #include <string>
--- a/tools/testing/HttpClient.h
+++ b/tools/testing/HttpClient.h
@@ -1,7 +1,7 @@
 // Blocking clients for tests: one that speaks HTTP, and one that sends any bytes.
 #pragma once
 
-#include "transport/HttpMessage.h"
+#include "protocol/HttpMessage.h"
 
 #include <chrono>
 #include <optional>
