--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -50,6 +50,9 @@
 constexpr Duration leastAdvice = 60ms;
 /// Rank of calls of upstreams at gates: the work for their request is already under way.
 constexpr int innerRank = -1;
+/// Shares of a service's demand below this are not worth a log line.
+constexpr double leastLoggedShare = 0.01;
+constexpr Duration planLogPeriod = 1s;
 /// For routes that state no target latency.
 constexpr Duration assumedTarget = 1s;
 
@@ -649,14 +652,23 @@
         for (const ServiceName& service : services)
             shares[service] = state.choice.shedShare(state.directory.usable(service), now);
         admission.plan(shares, state.costs, now);
-        state.log.state("admission plan", now, [&] {
-            nlohmann::json shed = nlohmann::json::object();
-            for (const auto& [service, share] : shares) {
-                if (share > 0.01)
-                    shed[service.text] = share;
-            }
-            return nlohmann::json { { "shed", shed } };
-        });
+        logPlan(shares, now);
+    }
+
+    /// Logs the shares when shedding begins or ends, and once a second in between.
+    void logPlan(const ShedShares& shares, Instant now)
+    {
+        nlohmann::json shed = nlohmann::json::object();
+        for (const auto& [service, share] : shares) {
+            if (share >= leastLoggedShare)
+                shed[service.text] = share;
+        }
+        const bool sheds = !shed.empty();
+        if (sheds == isShedding && !(sheds && now - planLoggedAt >= planLogPeriod))
+            return;
+        isShedding = sheds;
+        planLoggedAt = now;
+        state.log.state("admission plan", now, [&] { return nlohmann::json { { "shed", shed } }; });
     }
 
     SidecarState& state;
@@ -673,6 +685,8 @@
     CallId nextCall { 1 };
     std::uint64_t nextHop;
     std::uint64_t nextAsk { 1 };
+    bool isShedding { false }; // as last logged
+    Instant planLoggedAt;
 };
 
 EntryService::EntryService(SidecarState& state, HopPath& path, std::uint64_t seed)
--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -24,7 +24,7 @@
 constexpr Duration firstPause = 80ms;
 constexpr Duration longestPause = 400ms;
 /// Pause before the next watch, so that changes in quick succession come with one call.
-constexpr Duration gatherTime = 30ms;
+constexpr Duration gatherTime = 250ms;
 /// A suspected watch is renewed at most once in this time.
 constexpr Duration suspicionInterval = 2s;
 constexpr std::uint64_t longestBody = 16U << 20;
