--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -1,7 +1,6 @@
 // Calls of the entry, from the caller's request to its one answer.
 #include "transport/EntryService.h"
 
-#include "transport/SystemClock.h"
 
 #include <algorithm>
 #include <array>
@@ -123,7 +122,7 @@
     {
         auto call = std::make_shared<Call>();
         call->id = nextCall++;
-        call->begunAt = monotonicNow();
+        call->begunAt = state.now();
         call->request = std::move(request);
         call->respond = std::move(respond);
         call->requestId = call->request.head.fields.find(names().requestId).value_or("");
@@ -221,7 +220,7 @@
 
     void takeToken(const CallPtr& call)
     {
-        const Instant now = monotonicNow();
+        const Instant now = state.now();
         const ServedTeam* team = call->config->findTeam(*call->team);
         if (team->plan.ratePerSecond <= 0 || stash.use(*call->team, now))
             return admit(call);
@@ -248,9 +247,16 @@
         const auto found = asks.find(number);
         if (found == asks.end())
             return nullptr;
-        const auto call = calls.find(found->second);
+        const CallId id = found->second;
         asks.erase(found);
-        return call == calls.end() ? nullptr : call->second;
+        return find(id);
+    }
+
+    /// An open call; null when it has ended. It stays valid while its end removes it from the table.
+    CallPtr find(CallId id) const
+    {
+        const auto found = calls.find(id);
+        return found == calls.end() ? nullptr : found->second;
     }
 
     void onTokens(const TokenAnswer& answer)
@@ -262,13 +268,13 @@
             return refuse(call,
                 notRun(ResultCode::PlanExceeded, "the team has used its rate and burst",
                     adviceWithin(*call, std::max(answer.retryAfter, leastAdvice))));
-        stash.add(*call->team, answer.tokens - 1, monotonicNow());
+        stash.add(*call->team, answer.tokens - 1, state.now());
         admit(call);
     }
 
     void takeFallback(const CallPtr& call, const std::string& reason)
     {
-        const Instant now = monotonicNow();
+        const Instant now = state.now();
         const ServedTeam* team = call->config->findTeam(*call->team);
         fallback.setShare(fallbackShare / static_cast<double>(std::max<std::size_t>(state.directory.vms().size(), 1)));
         const TokenGrant grant = fallback.take(team->id, team->plan, 1, now);
@@ -284,7 +290,7 @@
 
     void admit(const CallPtr& call)
     {
-        const Instant now = monotonicNow();
+        const Instant now = state.now();
         if (!call->inner && !admission.admit(classOf(*call), now)) {
             if (call->team)
                 stash.add(*call->team, 1, now);
@@ -317,8 +323,8 @@
     {
         const auto usual = usualDeadlines.find(call.route->id);
         if (usual == usualDeadlines.end())
-            return call.answerBy - monotonicNow();
-        return std::max(leastAdvice, fromSeconds(usual->second) - (monotonicNow() - call.begunAt));
+            return call.answerBy - state.now();
+        return std::max(leastAdvice, fromSeconds(usual->second) - (state.now() - call.begunAt));
     }
 
     std::vector<const KnownUpstream*> reachable(const ServiceName& service) const
@@ -330,7 +336,7 @@
 
     void place(const CallPtr& call)
     {
-        const Instant now = monotonicNow();
+        const Instant now = state.now();
         if (now >= call->answerBy)
             return giveUp(call, "the time was over before it could be placed");
         const KnownUpstream* chosen = state.choice.choose(reachable(call->service), call->tried, now);
@@ -375,9 +381,9 @@
             const auto self = weak.lock();
             if (!self)
                 return;
-            const auto found = self->calls.find(id);
-            if (found != self->calls.end() && found->second->hop == 0)
-                self->place(found->second);
+            const CallPtr waiting = self->find(id);
+            if (waiting && waiting->hop == 0)
+                self->place(waiting);
         });
     }
 
@@ -389,9 +395,8 @@
             const auto self = weak.lock();
             if (!self)
                 return;
-            const auto found = self->calls.find(id);
-            if (found != self->calls.end())
-                self->onTimeout(found->second);
+            if (const CallPtr late = self->find(id))
+                self->onTimeout(late);
         });
     }
 
@@ -409,16 +414,15 @@
 
     void onAnswer(const VmId& vm, HopAnswer answer)
     {
-        const Instant now = monotonicNow();
+        const Instant now = state.now();
         state.choice.observe(vm, answer.load, now);
         const auto hop = hops.find(answer.number);
         if (hop == hops.end())
             return; // given up before
-        const auto found = calls.find(hop->second);
+        const CallPtr call = find(hop->second);
         hops.erase(hop);
-        if (found == calls.end())
+        if (!call)
             return;
-        const CallPtr call = found->second;
         call->hop = 0;
         state.costs.learn(call->route->id, answer.costs);
         state.choice.ended(vm, isFailure(answer), now);
@@ -460,7 +464,7 @@
     void onNotRun(const CallPtr& call, const VmId& vm, const HopAnswer& answer)
     {
         call->tried.push_back(vm);
-        const Instant now = monotonicNow();
+        const Instant now = state.now();
         const bool inTime = now < call->answerBy && call->placements < mostPlacements;
         // An upstream that turned the request away has seen it, and the next one would see it again.
         const bool allowed = !answer.arrived
@@ -480,7 +484,7 @@
     /// Whether the request may go to a second upstream after it may have run at one; takes it from the budget.
     bool mayRepeat(const Call& call)
     {
-        const Instant now = monotonicNow();
+        const Instant now = state.now();
         const Duration usual = state.costs.holdOf(call.route->id, Duration::zero());
         return call.route->repeatable && call.arrivals < call.route->maxAttempts
             && call.placements < mostPlacements && now + usual < call.answerBy
@@ -491,7 +495,7 @@
     {
         ++state.counters.repeats;
         call->repeated = true;
-        state.log.request("sent again", call->requestId, monotonicNow(), [&] {
+        state.log.request("sent again", call->requestId, state.now(), [&] {
             return nlohmann::json { { "failedVm", vm.text }, { "reason", reason } };
         });
         call->tried.push_back(vm);
@@ -514,9 +518,9 @@
         response.head.fields = std::move(answer.fields);
         response.body = std::move(answer.body);
         ++state.counters.callerAnswers[{ call->route->id.text, std::to_string(answer.status / 100) + "xx" }];
-        state.log.request("delivered", call->requestId, monotonicNow(), [&] {
+        state.log.request("delivered", call->requestId, state.now(), [&] {
             return nlohmann::json { { "status", answer.status }, { "vm", call->hopVm.text },
-                { "tookMs", toMilliseconds(monotonicNow() - call->begunAt) }, { "repeated", call->repeated } };
+                { "tookMs", toMilliseconds(state.now() - call->begunAt) }, { "repeated", call->repeated } };
         });
         end(call, std::move(response));
     }
@@ -526,7 +530,7 @@
     {
         if (call->lastFailure)
             return deliver(call, std::move(*call->lastFailure));
-        const bool late = monotonicNow() >= call->answerBy;
+        const bool late = state.now() >= call->answerBy;
         if (!call->mayHaveRun)
             return refuse(call,
                 notRun(late ? ResultCode::DeadlineTooNear : ResultCode::NoVmAvailable, std::string(reason),
@@ -547,7 +551,7 @@
         if (refusal.retryAfter > Duration::zero())
             response.head.fields.add("Retry-After", secondsText(refusal.retryAfter));
         ++state.counters.refusals[std::string(info.name)];
-        state.log.failure("refused", call->requestId, monotonicNow(), [&] {
+        state.log.failure("refused", call->requestId, state.now(), [&] {
             return nlohmann::json { { "code", static_cast<int>(refusal.code) }, { "name", info.name },
                 { "ran", describe(refusal.ran) }, { "explanation", refusal.explanation },
                 { "route", call->route ? call->route->id.text : "" }, { "service", call->service.text },
@@ -555,7 +559,7 @@
                 { "returning", call->returning }, { "vm", call->hopVm.text },
                 { "version", call->config ? call->config->config().version : 0 },
                 { "retryAfterMs", toMilliseconds(refusal.retryAfter) },
-                { "tookMs", toMilliseconds(monotonicNow() - call->begunAt) } };
+                { "tookMs", toMilliseconds(state.now() - call->begunAt) } };
         });
         end(call, std::move(response));
     }
@@ -576,20 +580,19 @@
     void cancelHop(Call& call)
     {
         hops.erase(call.hop);
-        state.choice.ended(call.hopVm, false, monotonicNow());
+        state.choice.ended(call.hopVm, false, state.now());
         path.sendCancel(call.hopVm, call.hop);
         call.hop = 0;
     }
 
     void cancel(CallId id)
     {
-        const auto found = calls.find(id);
-        if (found == calls.end())
+        const CallPtr call = find(id);
+        if (!call)
             return;
-        const CallPtr call = found->second;
         ++state.counters.cancelled;
-        state.log.request("caller gone", call->requestId, monotonicNow(), [&] {
-            return nlohmann::json { { "tookMs", toMilliseconds(monotonicNow() - call->begunAt) },
+        state.log.request("caller gone", call->requestId, state.now(), [&] {
+            return nlohmann::json { { "tookMs", toMilliseconds(state.now() - call->begunAt) },
                 { "vm", call->hopVm.text } };
         });
         if (call->hop != 0)
@@ -635,7 +638,7 @@
         call->hop = 0;
         ++call->arrivals;
         call->mayHaveRun = true;
-        state.choice.ended(vm, true, monotonicNow());
+        state.choice.ended(vm, true, state.now());
         onBroken(call, vm, reason);
     }
 
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -2,7 +2,6 @@
 #include "transport/HopService.h"
 
 #include "coordination/SlotGate.h"
-#include "transport/SystemClock.h"
 #include "transport/UpstreamPool.h"
 
 #include <algorithm>
@@ -72,7 +71,7 @@
 
     void request(const HopOrigin& origin, HopRequest request)
     {
-        const Instant now = monotonicNow();
+        const Instant now = state.now();
         auto job = std::make_shared<Job>();
         job->origin = origin;
         job->arrivedAt = now;
@@ -137,7 +136,7 @@
 
     void onResult(const JobPtr& job, UpstreamResult result)
     {
-        const Instant now = monotonicNow();
+        const Instant now = state.now();
         if (result.kind != UpstreamResult::Kind::NotConnected)
             job->arrived = true;
         if (mayResend(*job, result, now)) {
@@ -222,18 +221,19 @@
 
     void finish(const JobPtr& job, HopAnswer answer)
     {
-        const Instant now = monotonicNow();
+        const Instant now = state.now();
         answer.number = job->request.number;
         answer.load = load(now);
         answer.costs = state.costs.costHere(job->request.route);
-        answer.waited = std::max(Duration::zero(), job->startedAt - job->arrivedAt);
+        const bool started = job->startedAt >= job->arrivedAt;
+        answer.waited = (started ? job->startedAt : now) - job->arrivedAt;
         ++state.counters.hopAnswers[answer.outcome == HopOutcome::Answered ? "answered"
                                                                             : std::string(describe(answer.reason))];
         const auto fields = [&] {
             return nlohmann::json { { "entry", job->origin.vm.text }, { "route", job->request.route.text },
                 { "status", answer.status }, { "reason", describe(answer.reason) }, { "arrived", answer.arrived },
                 { "rank", job->request.rank }, { "waitedMs", toMilliseconds(answer.waited) },
-                { "heldMs", toMilliseconds(now - job->startedAt) }, { "running", answer.load.gate.running },
+                { "heldMs", started ? toMilliseconds(now - job->startedAt) : 0 }, { "running", answer.load.gate.running },
                 { "queued", answer.load.gate.queued }, { "limit", answer.load.gate.limit } };
         };
         if (answer.outcome == HopOutcome::Answered)
@@ -263,7 +263,7 @@
 
     void cancel(const JobPtr& job)
     {
-        const Instant now = monotonicNow();
+        const Instant now = state.now();
         if (waiting.erase(job->ticket) > 0) {
             gate.withdraw(job->ticket);
             jobs.erase({ job->origin, job->request.number });
@@ -304,7 +304,7 @@
                 unknown.number = number;
                 unknown.outcome = HopOutcome::NotRun;
                 unknown.reason = HopReason::UnknownRequest;
-                unknown.load = load(monotonicNow());
+                unknown.load = load(state.now());
                 reply(origin, unknown);
             } else if (job->answer && reply(origin, *job->answer)) {
                 jobs.erase({ origin, number });
@@ -326,11 +326,11 @@
                     self->cancel(job);
             }
         };
-        lostAt[origin] = monotonicNow();
+        lostAt[origin] = state.now();
         if (forGood)
-            cancelLost(monotonicNow());
+            cancelLost(state.now());
         else
-            state.timers.at(monotonicNow() + resumeTime, cancelLost);
+            state.timers.at(state.now() + resumeTime, cancelLost);
     }
 
     SidecarState& state;
@@ -403,7 +403,7 @@
     service.pool.closeIdle();
 }
 
-UpstreamLoad HopService::load() const { return m_internals->load(monotonicNow()); }
+UpstreamLoad HopService::load() const { return m_internals->load(m_internals->state.now()); }
 
 std::size_t HopService::open() const { return m_internals->jobs.size(); }
 
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -11,10 +11,11 @@
 #include "protocol/SidecarSettings.h"
 #include "state/ServingConfig.h"
 #include "transport/DecisionLog.h"
+#include "transport/SystemClock.h"
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -43,7 +44,10 @@
     {
     }
 
+    Instant now() const { return clock(); }
+
     boost::asio::io_context& io;
+    std::function<Instant()> clock { monotonicNow }; ///< tests put their own in its place
     SidecarSettings settings;
     const PlatformDialect& dialect;
     TimerService timers;
--- /dev/null
+++ b/test/support/SidecarStandIns.h
@@ -0,0 +1,186 @@
+// Stand-ins for what surrounds the parts of a sidecar: a platform with its own spelling, a configuration of
+// two services, and the path to other nodes.
+#pragma once
+
+#include "protocol/PlatformDialect.h"
+#include "transport/EntryService.h"
+#include "transport/SidecarState.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Ebonystack::Testing {
+
+class PlainDialect : public PlatformDialect {
+public:
+    const FieldNames& fieldNames() const override
+    {
+        static const FieldNames names { "X-Id", "X-Left", "X-Seal", "X-Team", "X-Expect", "X-Instance", "X-Load",
+            "X-Not-Run", "X-Caller", "Authorization", "Bearer" };
+        return names;
+    }
+    const std::vector<std::string>& followedPrefixes() const override
+    {
+        static const std::vector<std::string> prefixes { "" };
+        return prefixes;
+    }
+    std::string pageTarget(std::string_view, std::string_view) const override { return "/list"; }
+    std::string watchTarget(std::string_view, std::uint64_t, Duration) const override { return "/watch"; }
+    tl::expected<StorePage, std::string> readPage(std::string_view) const override { return StorePage {}; }
+    tl::expected<StoreChanges, std::string> readChanges(std::string_view) const override
+    {
+        return StoreChanges {};
+    }
+    std::optional<InstanceId> instanceOfKey(std::string_view) const override { return std::nullopt; }
+    tl::expected<PublishedItem, std::string> readItem(std::string_view, std::string_view) const override
+    {
+        return PublishedItem {};
+    }
+};
+
+/// A request and the VM that it was sent to.
+struct SentRequest {
+    VmId vm;
+    HopRequest request;
+
+    auto operator<=>(const SentRequest&) const = default;
+};
+
+/// Keeps what the entry sends; the test answers.
+class RecordingPath : public HopPath {
+public:
+    bool canReach(const VmId& vm) const override
+    {
+        return std::ranges::find(unreachable, vm) == unreachable.end();
+    }
+    bool sendRequest(const VmId& vm, HopRequest request) override
+    {
+        sent.push_back({ vm, std::move(request) });
+        return true;
+    }
+    void sendCancel(const VmId&, std::uint64_t number) override { cancelled.push_back(number); }
+    void sendResume(const VmId&, const std::vector<std::uint64_t>& numbers) override { resumed = numbers; }
+    bool askTokens(const VmId&, const TokenAsk& ask) override
+    {
+        asked.push_back(ask);
+        return homeReachable;
+    }
+
+    std::vector<SentRequest> sent;
+    std::vector<std::uint64_t> cancelled;
+    std::vector<std::uint64_t> resumed;
+    std::vector<TokenAsk> asked;
+    std::vector<VmId> unreachable;
+    bool homeReachable { true };
+};
+
+inline ServingRoute makeRoute(std::string name, std::string service, bool repeatable)
+{
+    ServingRoute route;
+    route.id = { name };
+    route.host = "example";
+    route.pathPrefix = "/" + name + "/";
+    route.repeatable = repeatable;
+    route.timeout = std::chrono::milliseconds(200);
+    route.targetLatency = std::chrono::milliseconds(200);
+    route.maxAttempts = 3;
+    route.shares = { { { std::move(service) }, 1 } };
+    return route;
+}
+
+/// Routes "read" and "order" of the service "registry", and one team without a limit with the key "k".
+inline ServingConfig makeServingConfig()
+{
+    ServingConfig config;
+    config.version = 1;
+    config.routes = { makeRoute("read", "registry", true), makeRoute("order", "registry", false) };
+    config.teams = { { { "team" }, { "k" }, std::nullopt, {} } };
+    config.hasTeams = true;
+    return config;
+}
+
+inline UpstreamEntry makeEntry(const std::string& instance, const std::string& vm, std::string service = "registry")
+{
+    return { { instance }, { std::move(service) }, { "a" }, vm + ":80", { vm }, 10, false, Duration::zero() };
+}
+
+inline SidecarSettings makeSidecarSettings()
+{
+    SidecarSettings settings;
+    settings.vm = { "10.0.0.1" };
+    settings.service = { "registry" };
+    settings.dataCentre = { "a" };
+    settings.upstreamAddress = "10.0.0.1:80";
+    return settings;
+}
+
+inline HttpRequest makeCallerRequest(const std::string& path, const std::string& id)
+{
+    HttpRequest request;
+    request.head.method = "GET";
+    request.head.target = path;
+    request.head.fields.add("Host", "example");
+    request.head.fields.add("X-Id", id);
+    request.head.fields.add("X-Left", "1000");
+    request.head.fields.add("Authorization", "Bearer k");
+    return request;
+}
+
+/// An entry with two upstreams of "registry" on other VMs.
+struct EntryBench {
+    EntryBench()
+    {
+        state.clock = [this] { return now; };
+        state.config = std::make_shared<const ServingIndex>(makeServingConfig());
+        state.directory.put(makeEntry("i-2", "10.0.0.2"), now);
+        state.directory.put(makeEntry("i-3", "10.0.0.3"), now);
+    }
+
+    CallId begin(const std::string& path, const std::string& id = "1")
+    {
+        return begin(makeCallerRequest(path, id));
+    }
+
+    CallId begin(HttpRequest request)
+    {
+        return entry.begin(
+            std::move(request), [this](HttpResponse response) { answers.push_back(std::move(response)); });
+    }
+
+    /// Answers the last request that was sent.
+    void answer(HopOutcome outcome, std::uint16_t status = 200, HopReason reason = HopReason::None)
+    {
+        HopAnswer answer;
+        answer.number = path.sent.back().request.number;
+        answer.outcome = outcome;
+        answer.reason = reason;
+        answer.status = status;
+        answer.arrived = outcome != HopOutcome::NotRun;
+        const VmId vm = path.sent.back().vm;
+        entry.onAnswer(vm, std::move(answer));
+    }
+
+    /// Gives the service enough first sends to pay for repeats.
+    void earnRepeats()
+    {
+        for (int i = 0; i < 200; ++i)
+            state.repeats.countFirst({ "registry" }, now);
+    }
+
+    void pass(Duration time)
+    {
+        now += time;
+        state.timers.advance(now);
+    }
+
+    Instant now { std::chrono::seconds(1000) };
+    boost::asio::io_context io;
+    PlainDialect dialect;
+    SidecarState state { io, makeSidecarSettings(), dialect, 1 };
+    RecordingPath path;
+    EntryService entry { state, path, 1 };
+    std::vector<HttpResponse> answers;
+};
+
+} // namespace Ebonystack::Testing
