--- a/src/coordination/CallCosts.cpp
+++ b/src/coordination/CallCosts.cpp
@@ -24,12 +24,12 @@
 
 void CallCosts::begin(const RouteId& route) { ++m_here[route].running; }
 
-void CallCosts::end(const RouteId& route, Duration held, bool whole)
+void CallCosts::end(const RouteId& route, Duration held, bool ran)
 {
     Here& here = m_here[route];
     if (here.running > 0)
         --here.running;
-    if (!whole)
+    if (!ran)
         return;
     here.ended += 1;
     here.held += toSeconds(held);
--- a/src/coordination/CallCosts.h
+++ b/src/coordination/CallCosts.h
@@ -19,8 +19,8 @@
 
     /// A request of `route` begins to run at the upstream beside this node.
     void begin(const RouteId&);
-    /// It has ended after holding a slot for `held`; `whole` when it ran to its end.
-    void end(const RouteId&, Duration held, bool whole);
+    /// It has ended after holding a slot for `held`; `ran` unless the upstream turned it away.
+    void end(const RouteId&, Duration held, bool ran);
     /// The upstream beside this node calls `callee`.
     void called(const RouteId& callee);
 
--- a/src/coordination/EntryAdmission.cpp
+++ b/src/coordination/EntryAdmission.cpp
@@ -10,21 +10,35 @@
 
 /// Time over which arrivals are averaged, in seconds.
 constexpr double demandSmoothing = 2;
-/// How much more a request of one priority is worth than one of the next.
-constexpr double worthPerPriority = 2.5;
+/// How much more a request of one priority is worth than one of the next. Routes count more than teams: an
+/// order of any team is shed after the reads of all.
+constexpr double worthPerRoutePriority = 2.5;
+constexpr double worthPerTeamPriority = 1.5;
 /// A request that came back as advised goes before a new one of its kind.
 constexpr double worthOfReturning = 1.5;
 /// The most of a class that is refused for the sake of others: no kind of request is starved.
 constexpr double leastShare = 0.1;
+/// Seconds of a slot that a request of a route without known costs is taken to need.
+constexpr double assumedCost = 0.2;
 /// Shares below this are noise of the control.
 constexpr double leastShedShare = 0.01;
 
 double worthOf(const DemandClass& demand)
 {
-    const double worth = std::pow(worthPerPriority, -demand.priority);
+    const double worth = std::pow(worthPerRoutePriority, -demand.routePriority)
+        * std::pow(worthPerTeamPriority, -demand.teamPriority);
     return demand.returning ? worth * worthOfReturning : worth;
 }
 
+/// What a request costs at a service. A route without known costs may lead to any service.
+double costAt(const CostVector& costs, const ServiceName& service)
+{
+    if (costs.empty())
+        return assumedCost;
+    const auto found = costs.find(service);
+    return found == costs.end() ? 0 : found->second;
+}
+
 struct Candidate {
     double density; // worth per second of a slot
     double work; // seconds of a slot that the class asks for in a second
@@ -82,12 +96,11 @@
         double asked = 0;
         double admitted = 0;
         for (auto& [demandClass, demand] : m_demands) {
-            const CostVector& costVector = costs.costOf(demandClass.route);
-            const auto cost = costVector.find(service);
-            if (cost == costVector.end() || cost->second <= 0)
+            const double cost = costAt(costs.costOf(demandClass.route), service);
+            if (cost <= 0)
                 continue;
-            const double work = demand.perSecond * cost->second;
-            candidates.push_back({ worthOf(demandClass) / cost->second, work, &demand.share });
+            const double work = demand.perSecond * cost;
+            candidates.push_back({ worthOf(demandClass) / cost, work, &demand.share });
             asked += work;
             admitted += work * demand.share;
         }
--- a/src/coordination/EntryAdmission.h
+++ b/src/coordination/EntryAdmission.h
@@ -1,5 +1,5 @@
-// Decides at the entry whether a request's whole call tree is worth starting. Each service states the share of
-// its demand that has to be refused; the entry refuses that share of the work that it asks of the service,
+// Decides at the entry whether a request's whole call tree is worth starting. Each service states the share
+// of its demand that has to be refused; the entry refuses that share of the work that it asks of the service,
 // beginning with the requests that are worth least for the slots they take. Answers sustained overload of a
 // service deep in the graph: a request refused here has cost nothing, one whose call is refused there has.
 #pragma once
@@ -16,7 +16,8 @@
 /// Requests that are treated alike.
 struct DemandClass {
     RouteId route;
-    int priority { 0 }; ///< 0 is refused last
+    int routePriority { 0 }; ///< 0 is refused last
+    int teamPriority { 0 }; ///< 0 is refused last, among requests of like routes
     bool returning { false }; ///< was refused before and has come back as advised
 
     auto operator<=>(const DemandClass&) const = default;
--- a/src/coordination/PressureControl.cpp
+++ b/src/coordination/PressureControl.cpp
@@ -9,33 +9,43 @@
 
 using namespace std::chrono_literals;
 
-/// Load per slot that the control steers to: nearly all slots in use, hardly any request waiting.
+/// Offered work per slot that the control steers to: nearly all slots in use, hardly any request waiting.
 constexpr double targetLoad = 0.95;
+/// How much lower the target is while requests wait for `longWait` or more, so that the queue empties.
+constexpr double queueRelief = 0.25;
+constexpr Duration longWait = 150ms;
 /// Averages out the fluctuation of random arrivals.
-constexpr Duration loadSmoothing = 250ms;
+constexpr Duration arrivalSmoothing = 300ms;
 /// The time in which the share follows a change of load by a factor of e. Longer than it takes until a
 /// request that an entry admits reaches the services deepest in its call tree.
-constexpr Duration fallTime = 700ms;
-constexpr Duration riseTime = 900ms;
+constexpr Duration fallTime = 600ms;
+constexpr Duration riseTime = 1000ms;
 /// Bounds of one step's logarithm, so that an idle or flooded moment does not throw the share far off.
-constexpr double steepestRise = 1.2;
-constexpr double steepestFall = 0.9;
+constexpr double steepestRise = 1.0;
+constexpr double steepestFall = 1.2;
 constexpr double leastAdmitted = 0.03;
+constexpr double leastLoad = 0.01;
 /// A longer pause between observations means that the process stood still; it says nothing of the load.
 constexpr Duration longestStep = 500ms;
 
 } // namespace
 
-void PressureControl::observe(const GateState& state, Instant now)
+void PressureControl::observe(const GateState& state, std::uint32_t arrivals, Duration hold, Instant now)
 {
-    const Duration step = m_observedAt ? std::min(now - *m_observedAt, longestStep) : Duration::zero();
+    const Duration step = m_observedAt ? now - *m_observedAt : Duration::zero();
     m_observedAt = now;
-    const double load = static_cast<double>(state.running + state.queued) / std::max(state.limit, 1U);
-    m_load += (load - m_load) * std::min(1.0, toSeconds(step) / toSeconds(loadSmoothing));
+    if (step <= Duration::zero() || step > longestStep)
+        return;
+    const double seconds = toSeconds(step);
+    const double offered = arrivals / seconds * toSeconds(hold);
+    m_offered += (offered - m_offered) * std::min(1.0, seconds / toSeconds(arrivalSmoothing));
+    const double limit = std::max(state.limit, 1U);
+    const double wait = state.queued * toSeconds(hold) / limit;
+    const double target = targetLoad - queueRelief * std::min(1.0, wait / toSeconds(longWait));
     const double error
-        = std::clamp(std::log(std::max(m_load, 0.01) / targetLoad), -steepestRise, steepestFall);
+        = std::clamp(std::log(std::max(m_offered / limit, leastLoad) / target), -steepestRise, steepestFall);
     const double time = toSeconds(error > 0 ? fallTime : riseTime);
-    m_admitShare = std::clamp(m_admitShare * std::exp(-error * toSeconds(step) / time), leastAdmitted, 1.0);
+    m_admitShare = std::clamp(m_admitShare * std::exp(-error * seconds / time), leastAdmitted, 1.0);
 }
 
 } // namespace Ebonystack
--- a/src/coordination/PressureControl.h
+++ b/src/coordination/PressureControl.h
@@ -1,9 +1,12 @@
 // How much of the work asked of one upstream has to be refused at the entries, so that its queue stays short.
-// Answers sustained overload: the share rises while requests wait at the gate and falls while slots are idle.
+// Answers sustained overload: the share rises while requests come faster than the upstream's slots free up.
+// It follows the rate of arrivals and not the length of the queue, which still grows for a while after the
+// entries have begun to refuse.
 #pragma once
 
 #include "state/UpstreamLoad.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace Ebonystack {
@@ -11,14 +14,15 @@
 /// Not thread-safe.
 class PressureControl {
 public:
-    /// Takes the gate's state; called at short, regular intervals.
-    void observe(const GateState&, Instant now);
+    /// Takes the gate's state, the requests that came since the last call, and the mean time for which one
+    /// holds a slot; called at short, regular intervals.
+    void observe(const GateState&, std::uint32_t arrivals, Duration hold, Instant now);
 
     /// The share of the demand to refuse, from 0 to just under 1.
     double shedShare() const { return 1 - m_admitShare; }
 
 private:
-    double m_load { 0 }; // running and waiting requests per slot, smoothed
+    double m_offered { 0 }; // work that comes in, in slots, smoothed
     double m_admitShare { 1 };
     std::optional<Instant> m_observedAt;
 };
--- a/src/coordination/UpstreamDirectory.cpp
+++ b/src/coordination/UpstreamDirectory.cpp
@@ -13,10 +13,10 @@
 
 } // namespace
 
-void UpstreamDirectory::put(const UpstreamEntry& entry, Instant now)
+void UpstreamDirectory::put(const UpstreamEntry& entry, std::uint64_t revision, Instant now)
 {
-    m_upstreams.insert_or_assign(entry.instance, KnownUpstream { entry, now + entry.coldFor, std::nullopt });
-    m_order.try_emplace(entry.instance, m_nextOrder++);
+    m_upstreams.insert_or_assign(
+        entry.instance, KnownUpstream { entry, revision, now + entry.coldFor, std::nullopt });
 }
 
 void UpstreamDirectory::remove(const InstanceId& instance, bool lapsed, Instant now)
@@ -28,25 +28,21 @@
         found->second.goneAt = now + lapsedEntryGrace;
         return;
     }
-    m_order.erase(instance);
     m_upstreams.erase(found);
 }
 
 void UpstreamDirectory::expire(Instant now)
 {
-    std::erase_if(m_upstreams, [&](const auto& item) {
-        const bool overdue = item.second.goneAt && *item.second.goneAt <= now;
-        if (overdue)
-            m_order.erase(item.first);
-        return overdue;
-    });
+    std::erase_if(
+        m_upstreams, [&](const auto& item) { return item.second.goneAt && *item.second.goneAt <= now; });
 }
 
 std::vector<const KnownUpstream*> UpstreamDirectory::usable(const ServiceName& service) const
 {
     std::vector<const KnownUpstream*> usable;
     for (const auto& [instance, upstream] : m_upstreams) {
-        if (upstream.entry.service == service && !upstream.entry.draining)
+        if (upstream.entry.service == service && !upstream.entry.draining
+            && atAddress(upstream.entry.address) == &upstream)
             usable.push_back(&upstream);
     }
     return usable;
@@ -55,13 +51,10 @@
 const KnownUpstream* UpstreamDirectory::atAddress(const std::string& address) const
 {
     const KnownUpstream* newest = nullptr;
-    std::uint64_t newestOrder = 0;
     for (const auto& [instance, upstream] : m_upstreams) {
-        const std::uint64_t order = m_order.at(instance);
-        if (upstream.entry.address == address && order > newestOrder) {
+        const bool isNewer = !newest || upstream.revision > newest->revision;
+        if (upstream.entry.address == address && isNewer)
             newest = &upstream;
-            newestOrder = order;
-        }
     }
     return newest;
 }
--- a/src/coordination/UpstreamDirectory.h
+++ b/src/coordination/UpstreamDirectory.h
@@ -15,6 +15,7 @@
 /// An upstream in the directory.
 struct KnownUpstream {
     UpstreamEntry entry;
+    std::uint64_t revision { 0 }; ///< of the store, at the entry's last write
     Instant coldUntil; ///< it is slow until then
     std::optional<Instant> goneAt; ///< its entry has lapsed: out of use from then on
 
@@ -24,14 +25,16 @@
 /// Not thread-safe.
 class UpstreamDirectory {
 public:
-    /// An entry was written.
-    void put(const UpstreamEntry&, Instant now);
-    /// An entry was removed. With `lapsed` its upstream stays in use until the return of the entry is overdue.
+    /// An entry was written at a revision of the store.
+    void put(const UpstreamEntry&, std::uint64_t revision, Instant now);
+    /// An entry was removed. With `lapsed` its upstream stays in use until the return of the entry is
+    /// overdue.
     void remove(const InstanceId&, bool lapsed, Instant now);
     /// Forgets the upstreams whose entry did not return.
     void expire(Instant now);
 
-    /// The upstreams of a service that take new work.
+    /// The upstreams of a service that take new work. An address has one upstream at a time: where several
+    /// entries name it, the one written last holds, and the others are those of ended instances.
     std::vector<const KnownUpstream*> usable(const ServiceName&) const;
     /// The newest entry at an address; null when there is none.
     const KnownUpstream* atAddress(const std::string& address) const;
@@ -42,8 +45,6 @@
 
 private:
     std::map<InstanceId, KnownUpstream> m_upstreams;
-    std::map<InstanceId, std::uint64_t> m_order; // of the first write of each, to tell the newest
-    std::uint64_t m_nextOrder { 1 };
 };
 
 } // namespace Ebonystack
--- a/src/protocol/HopFrame.cpp
+++ b/src/protocol/HopFrame.cpp
@@ -64,7 +64,7 @@
 Json write(const HopRequest& frame)
 {
     return Json::array({ frame.number, frame.route.text, frame.timeLeft.count(), frame.targetLeft.count(),
-        frame.rank, frame.repeatable, frame.instance.text, frame.method, bytesOf(frame.target),
+        frame.rank, frame.repeatable, frame.again, frame.instance.text, frame.method, bytesOf(frame.target),
         fieldsOf(frame.fields), bytesOf(frame.body) });
 }
 
@@ -75,9 +75,9 @@
         costs.push_back(service.text);
         costs.push_back(cost);
     }
-    return Json::array({ frame.number, frame.outcome, frame.reason, frame.arrived, frame.status,
-        fieldsOf(frame.fields), bytesOf(frame.body), loadOf(frame.load), std::move(costs),
-        frame.waited.count() });
+    return Json::array(
+        { frame.number, frame.outcome, frame.reason, frame.arrived, frame.status, fieldsOf(frame.fields),
+            bytesOf(frame.body), loadOf(frame.load), std::move(costs), frame.waited.count() });
 }
 
 Json write(const HopCancel& frame) { return Json::array({ frame.number }); }
@@ -115,9 +115,9 @@
 
 HopFrame readRequest(const Json& json)
 {
-    return HopRequest { json.at(0), { json.at(1) }, toDuration(json.at(2)), toDuration(json.at(3)), json.at(4),
-        json.at(5), { json.at(6) }, json.at(7), textOf(json.at(8)), toFields(json.at(9)),
-        textOf(json.at(10)) };
+    return HopRequest { json.at(0), { json.at(1) }, toDuration(json.at(2)), toDuration(json.at(3)),
+        json.at(4), json.at(5), json.at(6), { json.at(7) }, json.at(8), textOf(json.at(9)),
+        toFields(json.at(10)), textOf(json.at(11)) };
 }
 
 HopFrame readAnswer(const Json& json)
@@ -172,7 +172,8 @@
 {
     Json json = std::visit([](const auto& each) { return write(each); }, frame);
     std::string bytes(lengthBytes, '\0');
-    Json::to_cbor(Json::array({ frame.index(), std::move(json) }), nlohmann::detail::output_adapter<char>(bytes));
+    Json::to_cbor(
+        Json::array({ frame.index(), std::move(json) }), nlohmann::detail::output_adapter<char>(bytes));
     std::size_t length = bytes.size() - lengthBytes;
     for (std::size_t i = lengthBytes; i-- > 0; length >>= 8)
         bytes[i] = static_cast<char>(length & 0xff);
@@ -185,7 +186,8 @@
         return std::nullopt;
     const std::size_t length = lengthAt(bytes);
     if (length > longestFrame)
-        return tl::make_unexpected("a frame of " + std::to_string(length) + " bytes is longer than the limit");
+        return tl::make_unexpected(
+            "a frame of " + std::to_string(length) + " bytes is longer than the limit");
     if (bytes.size() < lengthBytes + length)
         return std::nullopt;
     consumed = lengthBytes + length;
@@ -202,9 +204,9 @@
 
 std::string_view describe(HopReason reason)
 {
-    constexpr auto names = std::to_array<std::string_view>({ "none", "gate full", "upstream shed",
-        "wrong instance", "upstream down", "upstream draining", "answer invalid", "connection lost", "too late",
-        "unknown request", "cancelled" });
+    constexpr auto names = std::to_array<std::string_view>(
+        { "none", "gate full", "upstream shed", "wrong instance", "upstream down", "upstream draining",
+            "answer invalid", "connection lost", "too late", "unknown request", "cancelled" });
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/src/protocol/HopFrame.h
+++ b/src/protocol/HopFrame.h
@@ -45,6 +45,7 @@
     Duration targetLeft { 0 }; ///< until the target latency has passed; not above `timeLeft`
     int rank { 0 }; ///< see GateRequest
     bool repeatable { false };
+    bool again { false }; ///< another node has turned it back before
     InstanceId instance; ///< the upstream for which it is meant
     std::string method;
     std::string target;
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -1,7 +1,6 @@
 // Calls of the entry, from the caller's request to its one answer.
 #include "transport/EntryService.h"
 
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -38,8 +37,10 @@
 constexpr Duration tokenTimeout = 120ms;
 /// The part of its equal share of a plan that an entry without a home grants.
 constexpr double fallbackShare = 0.7;
-/// A deadline below this part of the usual one of a route is that of a request that has come back.
-constexpr double returningDeadline = 0.97;
+/// Refused requests are advised to come back after a random time between these parts of the route's target
+/// latency, so that they can still be answered within it and returns don't come together.
+constexpr double leastAdviceShare = 0.3;
+constexpr double mostAdviceShare = 0.7;
 /// The usual deadline fades by this factor with each request, so that a change is followed.
 constexpr double usualDeadlineFade = 0.9995;
 /// Callers follow advice up to about this part of the time that they have left.
@@ -49,6 +50,8 @@
 constexpr Duration leastAdvice = 60ms;
 /// Rank of calls of upstreams at gates: the work for their request is already under way.
 constexpr int innerRank = -1;
+/// Ranks of requests order by the route's priority first and then by the team's.
+constexpr int ranksPerRoutePriority = 16;
 /// Shares of a service's demand below this are not worth a log line.
 constexpr double leastLoggedShare = 0.01;
 constexpr Duration planLogPeriod = 1s;
@@ -86,7 +89,7 @@
         const ServingRoute* route { nullptr };
         ServiceName service; // the share of the route that it fell to
         std::optional<TeamId> team;
-        int priority { 0 };
+        int teamPriority { 0 };
         bool inner { false }; // a call of the upstream beside this node
         bool returning { false };
         std::string requestId; // the caller's
@@ -98,7 +101,8 @@
         bool mayHaveRun { false };
         std::uint64_t hop { 0 }; // the attempt under way; 0: none
         VmId hopVm;
-        std::optional<HopAnswer> lastFailure; // an upstream's own failure, to be delivered if nothing better comes
+        std::optional<HopAnswer>
+            lastFailure; // an upstream's own failure, to be delivered if nothing better comes
         std::optional<TimerId> timer;
         bool repeated { false };
     };
@@ -144,7 +148,8 @@
         if (call.requestId.empty())
             return notRun(ResultCode::RequestMalformed, "the request has no " + names().requestId);
         const HttpFields& fields = call.request.head.fields;
-        call.route = call.config->findRoute(fields.find("Host").value_or(""), pathOf(call.request.head.target));
+        call.route
+            = call.config->findRoute(fields.find("Host").value_or(""), pathOf(call.request.head.target));
         if (!call.route)
             return notRun(ResultCode::RouteUnknown, "no route has this host and path");
         if (auto refusal = authenticate(call))
@@ -159,12 +164,11 @@
 
     std::optional<Refusal> authenticate(Call& call)
     {
-        call.priority = call.route->priority;
         const auto key = keyOf(call.request.head.fields);
         const ServedTeam* team = key ? call.config->teamOfKey(*key) : nullptr;
         if (team) {
             call.team = team->id;
-            call.priority = team->priority.value_or(call.priority);
+            call.teamPriority = team->priority.value_or(0);
             return std::nullopt;
         }
         call.inner = call.config->config().hasTeams && call.route->open;
@@ -178,7 +182,8 @@
     {
         auto value = fields.find(names().key);
         const std::string& scheme = names().keyScheme;
-        if (!value || value->size() <= scheme.size() || !sameFieldName(value->substr(0, scheme.size()), scheme))
+        if (!value || value->size() <= scheme.size()
+            || !sameFieldName(value->substr(0, scheme.size()), scheme))
             return std::nullopt;
         value->remove_prefix(scheme.size());
         while (!value->empty() && value->front() == ' ')
@@ -189,14 +194,16 @@
     void setTimes(Call& call)
     {
         const ServingRoute& route = *call.route;
-        const Duration timeout = route.timeout > Duration::zero() ? route.timeout + timeoutSlack : longestCall;
+        const Duration timeout
+            = route.timeout > Duration::zero() ? route.timeout + timeoutSlack : longestCall;
         const auto deadline = readDeadline(call.request.head.fields, names().deadline);
         call.answerBy = call.begunAt + std::min(timeout, deadline.value_or(timeout));
         if (!deadline || call.inner)
             return;
         double& usual = usualDeadlines[route.id];
         const double seconds = toSeconds(*deadline);
-        call.returning = seconds < usual * returningDeadline;
+        const double waited = usual - seconds;
+        call.returning = waited >= toSeconds(targetOf(route)) * leastAdviceShare;
         usual = std::max(usual * usualDeadlineFade, seconds);
     }
 
@@ -209,7 +216,8 @@
             &names().callerService, &names().key, &names().notRun, &names().instance, &names().load,
             &names().seal };
         fields.removeIf([&](const HttpField& field) {
-            return std::ranges::any_of(own, [&](const auto* name) { return sameFieldName(field.name, *name); });
+            return std::ranges::any_of(
+                own, [&](const auto* name) { return sameFieldName(field.name, *name); });
         });
         fields.add(names().callerService, state.settings.service.text);
         if (call.team)
@@ -276,17 +284,22 @@
     {
         const Instant now = state.now();
         const ServedTeam* team = call->config->findTeam(*call->team);
-        fallback.setShare(fallbackShare / static_cast<double>(std::max<std::size_t>(state.directory.vms().size(), 1)));
+        fallback.setShare(
+            fallbackShare / static_cast<double>(std::max<std::size_t>(state.directory.vms().size(), 1)));
         const TokenGrant grant = fallback.take(team->id, team->plan, 1, now);
         if (grant.tokens > 0)
             return admit(call);
         refuse(call,
-            notRun(ResultCode::PlanGrantsUnavailable, reason, adviceWithin(*call, std::max(grant.retryAfter, leastAdvice))));
+            notRun(ResultCode::PlanGrantsUnavailable, reason,
+                adviceWithin(*call, std::max(grant.retryAfter, leastAdvice))));
     }
 
     // Admission and placement.
 
-    DemandClass classOf(const Call& call) const { return { call.route->id, call.priority, call.returning }; }
+    DemandClass classOf(const Call& call) const
+    {
+        return { call.route->id, call.route->priority, call.teamPriority, call.returning };
+    }
 
     void admit(const CallPtr& call)
     {
@@ -302,20 +315,23 @@
         place(call);
     }
 
-    /// When a refused request should come back: spread over the time in which it can still be answered within
-    /// its target, so that returns don't come together.
+    static Duration targetOf(const ServingRoute& route)
+    {
+        return route.targetLatency > Duration::zero() ? route.targetLatency : assumedTarget;
+    }
+
+    /// When a refused request should come back.
     Duration returnAdvice(const Call& call)
     {
-        const Duration target
-            = call.route->targetLatency > Duration::zero() ? call.route->targetLatency : assumedTarget;
-        const double spread = 0.3 + 0.4 * random.unit();
-        return adviceWithin(call, fromSeconds(toSeconds(target) * spread));
+        const double share = leastAdviceShare + (mostAdviceShare - leastAdviceShare) * random.unit();
+        return adviceWithin(call, fromSeconds(toSeconds(targetOf(*call.route)) * share));
     }
 
     Duration adviceWithin(const Call& call, Duration wanted) const
     {
         const auto deadline = readDeadlineLeft(call);
-        return std::max(leastAdvice, std::min(wanted, fromSeconds(toSeconds(deadline) * adviceShareOfDeadline)));
+        return std::max(
+            leastAdvice, std::min(wanted, fromSeconds(toSeconds(deadline) * adviceShareOfDeadline)));
     }
 
     /// The time that the caller has left, beyond the route's timeout.
@@ -330,7 +346,8 @@
     std::vector<const KnownUpstream*> reachable(const ServiceName& service) const
     {
         auto upstreams = state.directory.usable(service);
-        std::erase_if(upstreams, [&](const KnownUpstream* upstream) { return !path.canReach(upstream->entry.vm); });
+        std::erase_if(
+            upstreams, [&](const KnownUpstream* upstream) { return !path.canReach(upstream->entry.vm); });
         return upstreams;
     }
 
@@ -347,7 +364,9 @@
         request.route = call->route->id;
         request.timeLeft = call->answerBy - now;
         request.targetLeft = request.timeLeft;
-        request.rank = call->inner ? innerRank : call->priority;
+        request.rank
+            = call->inner ? innerRank : call->route->priority * ranksPerRoutePriority + call->teamPriority;
+        request.again = call->placements > 0;
         request.repeatable = call->route->repeatable;
         request.instance = chosen->entry.instance;
         request.method = call->request.head.method;
@@ -376,7 +395,8 @@
     {
         const bool mayWait = call->tried.empty() && now - call->begunAt < placeWait;
         if (!mayWait)
-            return giveUp(call, call->tried.empty() ? "no VM of the service can be reached" : "no other VM is left");
+            return giveUp(
+                call, call->tried.empty() ? "no VM of the service can be reached" : "no other VM is left");
         state.timers.at(now + placeInterval, [weak = weak_from_this(), id = call->id](Instant) {
             const auto self = weak.lock();
             if (!self)
@@ -391,13 +411,14 @@
     {
         if (call->timer)
             return;
-        call->timer = state.timers.at(call->answerBy + transitTime, [weak = weak_from_this(), id = call->id](Instant) {
-            const auto self = weak.lock();
-            if (!self)
-                return;
-            if (const CallPtr late = self->find(id))
-                self->onTimeout(late);
-        });
+        call->timer = state.timers.at(
+            call->answerBy + transitTime, [weak = weak_from_this(), id = call->id](Instant) {
+                const auto self = weak.lock();
+                if (!self)
+                    return;
+                if (const CallPtr late = self->find(id))
+                    self->onTimeout(late);
+            });
     }
 
     void onTimeout(const CallPtr& call)
@@ -481,7 +502,8 @@
         giveUp(call, reason);
     }
 
-    /// Whether the request may go to a second upstream after it may have run at one; takes it from the budget.
+    /// Whether the request may go to a second upstream after it may have run at one; takes it from the
+    /// budget.
     bool mayRepeat(const Call& call)
     {
         const Instant now = state.now();
@@ -536,8 +558,8 @@
                 notRun(late ? ResultCode::DeadlineTooNear : ResultCode::NoVmAvailable, std::string(reason),
                     adviceWithin(*call, shortAdvice)));
         refuse(call,
-            { late ? ResultCode::DeadlineExceeded : ResultCode::OutcomeUnknown, Ran::Unknown, Duration::zero(),
-                std::string(reason) });
+            { late ? ResultCode::DeadlineExceeded : ResultCode::OutcomeUnknown, Ran::Unknown,
+                Duration::zero(), std::string(reason) });
     }
 
     void refuse(const CallPtr& call, const Refusal& refusal)
@@ -706,7 +728,10 @@
 
 void EntryService::cancel(CallId id) { m_internals->cancel(id); }
 
-void EntryService::onAnswer(const VmId& vm, HopAnswer answer) { m_internals->onAnswer(vm, std::move(answer)); }
+void EntryService::onAnswer(const VmId& vm, HopAnswer answer)
+{
+    m_internals->onAnswer(vm, std::move(answer));
+}
 
 void EntryService::onLinkUp(const VmId& vm, bool sameProcess) { m_internals->onLinkUp(vm, sameProcess); }
 
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -80,12 +80,13 @@
         job->id = request.fields.find(names().requestId).value_or("");
         job->request = std::move(request);
         jobs[{ origin, job->request.number }] = job;
-        if (drainingSince
-            && now - *drainingSince > fromSeconds(toSeconds(state.settings.drain) * drainShare))
+        if (drainingSince && now - *drainingSince > fromSeconds(toSeconds(state.settings.drain) * drainShare))
             return finishNotRun(job, HopReason::UpstreamDraining);
         const Duration hold = state.costs.holdOf(job->request.route, assumedHold);
         const Instant byDeadline = job->deadline - hold;
         const Instant byPatience = now + fromSeconds(toSeconds(job->request.timeLeft) * waitShare);
+        if (!job->request.again)
+            ++arrivals;
         const GateVerdict verdict
             = gate.arrive({ job->ticket, job->request.rank, std::min(byDeadline, byPatience) }, now);
         if (verdict == GateVerdict::Refused)
@@ -142,14 +143,14 @@
         if (mayResend(*job, result, now)) {
             job->resent = true;
             ++state.counters.repeats;
-            state.log.request("sent again to the upstream", job->id, now,
-                [&] { return nlohmann::json { { "reason", "a kept connection had ended" } }; });
+            state.log.request("sent again to the upstream", job->id, now, [&] {
+                return nlohmann::json { { "reason", "a kept connection had ended" } };
+            });
             return send(job, now);
         }
         HopAnswer answer = answerFor(*job, std::move(result), now);
         const Duration held = now - job->startedAt;
-        const bool whole = answer.outcome == HopOutcome::Answered && answer.status < 500;
-        state.costs.end(job->request.route, held, whole);
+        state.costs.end(job->request.route, held, answer.outcome != HopOutcome::NotRun);
         startMore(gate.depart(held, now), now);
         finish(job, std::move(answer));
     }
@@ -186,7 +187,8 @@
         if (saysNotRun || head.status == statusMisdirected) {
             const bool ranBefore = job.resent && !job.request.repeatable;
             answer.outcome = ranBefore ? HopOutcome::Broken : HopOutcome::NotRun;
-            answer.reason = head.status == statusMisdirected ? HopReason::WrongInstance : HopReason::UpstreamShed;
+            answer.reason
+                = head.status == statusMisdirected ? HopReason::WrongInstance : HopReason::UpstreamShed;
             return answer;
         }
         if (!isSound(head)) {
@@ -227,14 +229,17 @@
         answer.costs = state.costs.costHere(job->request.route);
         const bool started = job->startedAt >= job->arrivedAt;
         answer.waited = (started ? job->startedAt : now) - job->arrivedAt;
-        ++state.counters.hopAnswers[answer.outcome == HopOutcome::Answered ? "answered"
-                                                                            : std::string(describe(answer.reason))];
+        ++state.counters
+              .hopAnswers[answer.outcome == HopOutcome::Answered ? "answered"
+                                                                 : std::string(describe(answer.reason))];
         const auto fields = [&] {
             return nlohmann::json { { "entry", job->origin.vm.text }, { "route", job->request.route.text },
-                { "status", answer.status }, { "reason", describe(answer.reason) }, { "arrived", answer.arrived },
-                { "rank", job->request.rank }, { "waitedMs", toMilliseconds(answer.waited) },
-                { "heldMs", started ? toMilliseconds(now - job->startedAt) : 0 }, { "running", answer.load.gate.running },
-                { "queued", answer.load.gate.queued }, { "limit", answer.load.gate.limit } };
+                { "status", answer.status }, { "reason", describe(answer.reason) },
+                { "arrived", answer.arrived }, { "rank", job->request.rank },
+                { "waitedMs", toMilliseconds(answer.waited) },
+                { "heldMs", started ? toMilliseconds(now - job->startedAt) : 0 },
+                { "running", answer.load.gate.running }, { "queued", answer.load.gate.queued },
+                { "limit", answer.load.gate.limit } };
         };
         if (answer.outcome == HopOutcome::Answered)
             state.log.request("upstream answered", job->id, now, fields);
@@ -276,7 +281,7 @@
             return;
         }
         pool.abort(job->exchange);
-        state.costs.end(job->request.route, now - job->startedAt, false);
+        state.costs.end(job->request.route, now - job->startedAt, true);
         jobs.erase({ job->origin, job->request.number });
         startMore(gate.depart(now - job->startedAt, now), now);
     }
@@ -341,6 +346,7 @@
     std::map<JobKey, JobPtr> jobs; // all that wait, run, or hold an answer
     std::unordered_map<GateTicket, JobPtr> waiting; // those at the gate
     std::map<HopOrigin, Instant> lostAt; // origins without a link that have open jobs
+    std::uint32_t arrivals { 0 }; // since the pressure was observed last
     GateTicket nextTicket { 1 };
     Instant downUntil;
     std::optional<Instant> drainingSince;
@@ -371,7 +377,10 @@
     m_internals->resume(origin, numbers);
 }
 
-void HopService::originLost(const HopOrigin& origin, bool forGood) { m_internals->originLost(origin, forGood); }
+void HopService::originLost(const HopOrigin& origin, bool forGood)
+{
+    m_internals->originLost(origin, forGood);
+}
 
 void HopService::refreshUpstream(Instant now)
 {
@@ -399,7 +408,8 @@
         service.waiting.erase(found);
         service.finishNotRun(job, HopReason::GateFull);
     }
-    service.pressure.observe(service.gate.state(), now);
+    service.pressure.observe(
+        service.gate.state(), std::exchange(service.arrivals, 0), service.gate.meanHold(), now);
     service.pool.closeIdle();
 }
 
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -68,14 +68,17 @@
         , mirror([this](const StoreItem& item) { onItem(item); })
         , store(io, state.timers, dialect, mirror, state.log, state.settings.storeAddress, drawRandom())
         , links(io, state.log, *this, { self.vm, self.incarnation }, state.settings.peerPort)
-        , hop(state, [this](const HopOrigin& origin, HopAnswer answer) { return replyTo(origin, std::move(answer)); })
+        , hop(state,
+              [this](
+                  const HopOrigin& origin, HopAnswer answer) { return replyTo(origin, std::move(answer)); })
         , entry(state, *this, drawRandom())
         , callers(state, entry)
         , planBuckets(1)
         , tick(io)
         , signals(io, SIGTERM, SIGINT)
         , reloadSignal(io, SIGHUP)
-        , callerAcceptor(io, state.settings.callerAddress, [this](auto socket) { callers.accept(std::move(socket)); })
+        , callerAcceptor(
+              io, state.settings.callerAddress, [this](auto socket) { callers.accept(std::move(socket)); })
         , peerAcceptor(io, portAddress(state.settings, state.settings.peerPort),
               [this](auto socket) { links.accept(std::move(socket)); })
         , readiness(io, state.settings.readinessAddress, [this](std::string_view) { return readinessPage(); })
@@ -89,8 +92,8 @@
     {
         startedAt = monotonicNow();
         Log::write(Log::Level::Info, "started",
-            { { "vm", self.vm.text }, { "name", state.settings.name }, { "service", state.settings.service.text },
-                { "incarnation", self.incarnation } });
+            { { "vm", self.vm.text }, { "name", state.settings.name },
+                { "service", state.settings.service.text }, { "incarnation", self.incarnation } });
         signals.async_wait([this](const ErrorCode& error, int) {
             if (!error)
                 leave();
@@ -137,8 +140,9 @@
         const Instant now = monotonicNow();
         if (now - lastTick > pauseLimit) {
             pausedAt = now;
-            state.log.state("process stood still", now,
-                [&] { return nlohmann::json { { "forMs", toMilliseconds(now - lastTick) } }; });
+            state.log.state("process stood still", now, [&] {
+                return nlohmann::json { { "forMs", toMilliseconds(now - lastTick) } };
+            });
         }
         lastTick = now;
         state.timers.advance(now);
@@ -207,12 +211,12 @@
 
     void onEntry(const UpstreamEntry& upstream, std::uint64_t revision, Instant now)
     {
-        state.directory.put(upstream, now);
+        state.directory.put(upstream, revision, now);
         directoryChanged = true;
         state.log.state("upstream entry", now, [&] {
-            return nlohmann::json { { "instance", upstream.instance.text }, { "service", upstream.service.text },
-                { "address", upstream.address }, { "draining", upstream.draining }, { "slots", upstream.slots },
-                { "revision", revision } };
+            return nlohmann::json { { "instance", upstream.instance.text },
+                { "service", upstream.service.text }, { "address", upstream.address },
+                { "draining", upstream.draining }, { "slots", upstream.slots }, { "revision", revision } };
         });
     }
 
@@ -221,7 +225,8 @@
         if (state.config && config.version < state.config->config().version) {
             state.log.state("configuration refused", now, [&] {
                 return nlohmann::json { { "version", config.version },
-                    { "inForce", state.config->config().version }, { "reason", "older than the one in force" } };
+                    { "inForce", state.config->config().version },
+                    { "reason", "older than the one in force" } };
             });
             return;
         }
@@ -272,7 +277,10 @@
 
     void onTokenAnswer(const TokenAnswer& answer) override { entry.onTokens(answer); }
 
-    void onRequest(const HopOrigin& origin, HopRequest request) override { hop.request(origin, std::move(request)); }
+    void onRequest(const HopOrigin& origin, HopRequest request) override
+    {
+        hop.request(origin, std::move(request));
+    }
     void onCancel(const HopOrigin& origin, std::uint64_t number) override { hop.cancel(origin, number); }
     void onResume(const HopOrigin& origin, const std::vector<std::uint64_t>& numbers) override
     {
@@ -342,13 +350,15 @@
     StatusPage readinessPage() const
     {
         const bool ready = state.config && !state.leaving && state.directory.size() > 0;
-        return { static_cast<std::uint16_t>(ready ? 200 : 503), "text/plain", ready ? "ready\n" : "not ready\n" };
+        return { static_cast<std::uint16_t>(ready ? 200 : 503), "text/plain",
+            ready ? "ready\n" : "not ready\n" };
     }
 
     StatusPage metricsPage() const
     {
         const SidecarFigures figures { hop.load(), callers.connections(), hop.connections(),
-            hop.connectionsOpened(), links.upCount(), store.calls(), entry.open(), hop.open(), mirror.revision() };
+            hop.connectionsOpened(), links.upCount(), store.calls(), entry.open(), hop.open(),
+            mirror.revision() };
         return { 200, "text/plain; version=0.0.4", writeSidecarMetrics(state, figures) };
     }
 
@@ -377,7 +387,8 @@
         if (const auto level = Log::parseLevel(settings->logLevel))
             Log::setLevel(*level);
         directoryChanged = true;
-        Log::write(Log::Level::Info, "settings reloaded", { { "upstreamAddress", settings->upstreamAddress } });
+        Log::write(
+            Log::Level::Info, "settings reloaded", { { "upstreamAddress", settings->upstreamAddress } });
     }
 
     void leave()
@@ -386,7 +397,8 @@
             return;
         state.leaving = true;
         leavingSince = monotonicNow();
-        Log::write(Log::Level::Info, "leaving", { { "openCalls", entry.open() }, { "openHops", hop.open() } });
+        Log::write(
+            Log::Level::Info, "leaving", { { "openCalls", entry.open() }, { "openHops", hop.open() } });
         links.beatNow(leavingSince);
     }
 
--- /dev/null
+++ b/test/correctness/DirectoryFollowsTheEntries.cpp
@@ -0,0 +1,77 @@
+// Which upstreams may get work, while entries come, drain, lapse and return.
+#include "coordination/UpstreamDirectory.h"
+
+#include <doctest/doctest.h>
+
+using namespace Ebonystack;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start { 100s };
+const ServiceName registry { "registry" };
+
+UpstreamEntry makeEntry(std::string instance, std::string address, bool draining = false)
+{
+    const std::string vm = address.substr(0, address.rfind(':'));
+    return { { std::move(instance) }, registry, { "a" }, address, { vm }, 8, draining, Duration::zero() };
+}
+
+std::vector<std::string> usable(const UpstreamDirectory& directory)
+{
+    std::vector<std::string> instances;
+    for (const KnownUpstream* upstream : directory.usable(registry))
+        instances.push_back(upstream->entry.instance.text);
+    return instances;
+}
+
+} // namespace
+
+TEST_CASE("an upstream that drains gets no work")
+{
+    UpstreamDirectory directory;
+    directory.put(makeEntry("i-1", "10.0.0.1:80"), 5, start);
+    CHECK(usable(directory) == std::vector<std::string> { "i-1" });
+    directory.put(makeEntry("i-1", "10.0.0.1:80", true), 6, start);
+    CHECK(usable(directory).empty());
+}
+
+TEST_CASE("of two entries at one address only the one written last holds")
+{
+    UpstreamDirectory directory;
+    directory.put(makeEntry("i-9", "10.0.0.1:80"), 5, start);
+    directory.put(makeEntry("i-1", "10.0.0.1:80"), 9, start);
+    CHECK(usable(directory) == std::vector<std::string> { "i-1" });
+    CHECK(directory.atAddress("10.0.0.1:80")->entry.instance.text == "i-1");
+    directory.remove({ "i-9" }, false, start);
+    CHECK(usable(directory) == std::vector<std::string> { "i-1" });
+}
+
+TEST_CASE("an entry that lapses stays in use until its return is overdue")
+{
+    UpstreamDirectory directory;
+    directory.put(makeEntry("i-1", "10.0.0.1:80"), 5, start);
+    directory.remove({ "i-1" }, true, start);
+    directory.expire(start + 2s);
+    CHECK(usable(directory).size() == 1);
+    directory.expire(start + 3s);
+    CHECK(usable(directory).empty());
+}
+
+TEST_CASE("an entry that returns in time stays in use")
+{
+    UpstreamDirectory directory;
+    directory.put(makeEntry("i-1", "10.0.0.1:80"), 5, start);
+    directory.remove({ "i-1" }, true, start);
+    directory.put(makeEntry("i-1", "10.0.0.1:80"), 8, start + 1s);
+    directory.expire(start + 3s);
+    CHECK(usable(directory).size() == 1);
+}
+
+TEST_CASE("a draining entry that disappears is gone at once")
+{
+    UpstreamDirectory directory;
+    directory.put(makeEntry("i-1", "10.0.0.1:80", true), 5, start);
+    directory.remove({ "i-1" }, true, start);
+    CHECK(directory.size() == 0);
+}
--- a/test/support/SidecarStandIns.h
+++ b/test/support/SidecarStandIns.h
@@ -16,8 +16,8 @@
 public:
     const FieldNames& fieldNames() const override
     {
-        static const FieldNames names { "X-Id", "X-Left", "X-Seal", "X-Team", "X-Expect", "X-Instance", "X-Load",
-            "X-Not-Run", "X-Caller", "Authorization", "Bearer" };
+        static const FieldNames names { "X-Id", "X-Left", "X-Seal", "X-Team", "X-Expect", "X-Instance",
+            "X-Load", "X-Not-Run", "X-Caller", "Authorization", "Bearer" };
         return names;
     }
     const std::vector<std::string>& followedPrefixes() const override
@@ -100,7 +100,8 @@
     return config;
 }
 
-inline UpstreamEntry makeEntry(const std::string& instance, const std::string& vm, std::string service = "registry")
+inline UpstreamEntry makeEntry(
+    const std::string& instance, const std::string& vm, std::string service = "registry")
 {
     return { { instance }, { std::move(service) }, { "a" }, vm + ":80", { vm }, 10, false, Duration::zero() };
 }
@@ -133,8 +134,8 @@
     {
         state.clock = [this] { return now; };
         state.config = std::make_shared<const ServingIndex>(makeServingConfig());
-        state.directory.put(makeEntry("i-2", "10.0.0.2"), now);
-        state.directory.put(makeEntry("i-3", "10.0.0.3"), now);
+        state.directory.put(makeEntry("i-2", "10.0.0.2"), 1, now);
+        state.directory.put(makeEntry("i-3", "10.0.0.3"), 2, now);
     }
 
     CallId begin(const std::string& path, const std::string& id = "1")
