--- a/src/coordination/RepeatBudget.cpp
+++ b/src/coordination/RepeatBudget.cpp
@@ -8,7 +8,7 @@
 
 /// The part of the operator's ratio that one level of a call tree may spend: a repeated request repeats all
 /// calls below it, so the levels add up at the deepest service.
-constexpr double levelShare = 0.3;
+constexpr double levelShare = 0.18;
 /// The part of the extra repeats that nodes hand out: the rest covers requests that upstreams count and
 /// nodes don't, and windows that two fillings fall into.
 constexpr double extraUse = 0.4;
@@ -47,7 +47,8 @@
     const auto [found, isNew] = m_accounts.try_emplace(service, Account { std::min(1.0, m_extraShare), now });
     Account& account = found->second;
     const double elapsed = toSeconds(now - account.filledAt) / toSeconds(m_bounds.window);
-    account.repeats = std::min(std::max(mostSaved, account.repeats), account.repeats + m_extraShare * elapsed);
+    account.repeats
+        = std::min(std::max(mostSaved, account.repeats), account.repeats + m_extraShare * elapsed);
     account.filledAt = now;
     return account;
 }
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -24,8 +24,10 @@
 constexpr Duration leastTimeToRun = 5ms;
 /// How long requests whose entry has lost its link are kept.
 constexpr Duration resumeTime = 1200ms;
-/// How long the answers to orders are kept for an entry without a link.
+/// How long the answers to orders are kept: an answer may have been lost on a link that was about to break.
 constexpr Duration answerLife = 5s;
+/// How long it is remembered that an order came: no entry waits longer for its answer.
+constexpr Duration orderMemory = 60s;
 /// How long other nodes are told that the upstream can't be reached after a failed connection.
 constexpr Duration downTime = 700ms;
 /// Of the operator's drain time, after which requests for a leaving upstream are turned back here: entries
@@ -49,7 +51,8 @@
         bool resent { false };
         bool cancelled { false }; // an order whose caller is gone: its answer goes nowhere
         std::string id; // the caller's, for logs
-        std::optional<HopAnswer> answer; // kept for an entry without a link
+        bool ended { false };
+        std::optional<HopAnswer> answer; // of an order that has ended, for a while
     };
     using JobPtr = std::shared_ptr<Job>;
     using JobKey = std::pair<HopOrigin, std::uint64_t>;
@@ -80,6 +83,7 @@
         job->id = request.fields.find(names().requestId).value_or("");
         job->request = std::move(request);
         jobs[{ origin, job->request.number }] = job;
+        ++openJobs;
         if (drainingSince && now - *drainingSince > fromSeconds(toSeconds(state.settings.drain) * drainShare))
             return finishNotRun(job, HopReason::UpstreamDraining);
         const Duration hold = state.costs.holdOf(job->request.route, assumedHold);
@@ -245,21 +249,35 @@
             state.log.request("upstream answered", job->id, now, fields);
         else
             state.log.failure("upstream did not answer", job->id, now, fields);
-        if (job->cancelled) {
-            jobs.erase({ job->origin, job->request.number });
-            return;
-        }
-        if (reply(job->origin, answer) || job->request.repeatable) {
-            jobs.erase({ job->origin, job->request.number });
-            return;
-        }
-        job->answer = std::move(answer);
-        state.timers.at(now + answerLife, [weak = weak_from_this(), job](Instant) {
+        if (!job->request.repeatable)
+            remember(job, answer);
+        forget(job);
+        if (!job->cancelled)
+            reply(job->origin, std::move(answer));
+    }
+
+    /// Keeps what became of an order, for an entry that does not get the answer.
+    void remember(const JobPtr& job, const HopAnswer& answer)
+    {
+        job->answer = answer;
+        job->request.body.clear();
+        const Instant now = state.now();
+        state.timers.at(now + answerLife, [job](Instant) { job->answer.reset(); });
+        state.timers.at(now + orderMemory, [weak = weak_from_this(), job](Instant) {
             if (const auto self = weak.lock())
                 self->jobs.erase({ job->origin, job->request.number });
         });
     }
 
+    /// Ends a job. The record of an order stays.
+    void forget(const JobPtr& job)
+    {
+        if (!std::exchange(job->ended, true))
+            --openJobs;
+        if (job->request.repeatable || !job->arrived)
+            jobs.erase({ job->origin, job->request.number });
+    }
+
     JobPtr find(const HopOrigin& origin, std::uint64_t number) const
     {
         const auto found = jobs.find({ origin, number });
@@ -269,20 +287,20 @@
     void cancel(const JobPtr& job)
     {
         const Instant now = state.now();
+        if (job->ended || job->cancelled)
+            return;
         if (waiting.erase(job->ticket) > 0) {
             gate.withdraw(job->ticket);
-            jobs.erase({ job->origin, job->request.number });
+            forget(job);
             return;
         }
-        if (job->answer || job->cancelled)
-            return;
         if (!job->request.repeatable) {
             job->cancelled = true; // runs on: it can't be taken back
             return;
         }
         pool.abort(job->exchange);
         state.costs.end(job->request.route, now - job->startedAt, true);
-        jobs.erase({ job->origin, job->request.number });
+        forget(job);
         startMore(gate.depart(now - job->startedAt, now), now);
     }
 
@@ -304,16 +322,18 @@
         }
         for (const std::uint64_t number : numbers) {
             const JobPtr job = find(origin, number);
-            if (!job) {
-                HopAnswer unknown;
-                unknown.number = number;
-                unknown.outcome = HopOutcome::NotRun;
-                unknown.reason = HopReason::UnknownRequest;
-                unknown.load = load(state.now());
-                reply(origin, unknown);
-            } else if (job->answer && reply(origin, *job->answer)) {
-                jobs.erase({ origin, number });
+            if (job && !job->ended)
+                continue; // its answer will follow
+            if (job && job->answer) {
+                reply(origin, *job->answer);
+                continue;
             }
+            HopAnswer answer;
+            answer.number = number;
+            answer.outcome = job ? HopOutcome::Broken : HopOutcome::NotRun;
+            answer.reason = job ? HopReason::ConnectionLost : HopReason::UnknownRequest;
+            answer.load = load(state.now());
+            reply(origin, std::move(answer));
         }
     }
 
@@ -343,7 +363,8 @@
     UpstreamPool pool;
     SlotGate gate;
     PressureControl pressure;
-    std::map<JobKey, JobPtr> jobs; // all that wait, run, or hold an answer
+    std::map<JobKey, JobPtr> jobs; // all that wait or run, and the orders that have ended lately
+    std::size_t openJobs { 0 }; // those that wait or run
     std::unordered_map<GateTicket, JobPtr> waiting; // those at the gate
     std::map<HopOrigin, Instant> lostAt; // origins without a link that have open jobs
     std::uint32_t arrivals { 0 }; // since the pressure was observed last
@@ -415,7 +436,7 @@
 
 UpstreamLoad HopService::load() const { return m_internals->load(m_internals->state.now()); }
 
-std::size_t HopService::open() const { return m_internals->jobs.size(); }
+std::size_t HopService::open() const { return m_internals->openJobs; }
 
 std::size_t HopService::connections() const { return m_internals->pool.connections(); }
 
