--- a/src/coordination/UpstreamChoice.cpp
+++ b/src/coordination/UpstreamChoice.cpp
@@ -10,7 +10,7 @@
 using namespace std::chrono_literals;
 
 /// Preference for an upstream of the own data centre: traffic between data centres costs time and money.
-constexpr double ownDataCentreFactor = 2;
+constexpr double ownDataCentreFactor = 4;
 /// An upstream that has just started takes about twice as long.
 constexpr double coldFactor = 0.4;
 /// News older than this say nothing of the load.
@@ -20,6 +20,8 @@
 constexpr Duration failureLife = 2s;
 constexpr double leastWeight = 1e-6;
 constexpr Duration assumedHold = 50ms;
+/// How strongly faster upstreams are preferred: squared, so that the slow ones serve when the others are busy.
+constexpr double speedExponent = 2;
 /// How strongly waiting requests count against a VM.
 constexpr double queueExponent = 2;
 
@@ -125,7 +127,7 @@
     const double busy = (gate.running + gate.queued + view.startedSince) / static_cast<double>(gate.limit);
     const double room = busy < 1 ? 1 - busy + 0.05 : 0.05 / std::pow(busy, queueExponent);
     const Duration hold = std::max<Duration>(view.load.hold, 1ms);
-    weight *= room * toSeconds(assumedHold) / toSeconds(hold);
+    weight *= room * std::pow(toSeconds(assumedHold) / toSeconds(hold), speedExponent);
     return std::max(weight, leastWeight);
 }
 
