--- a/src/coordination/UpstreamDirectory.cpp
+++ b/src/coordination/UpstreamDirectory.cpp
@@ -4,28 +4,19 @@
 #include <algorithm>
 
 namespace Ebonystack {
-namespace {
-
-using namespace std::chrono_literals;
-
-/// The platform puts entries that lapsed during an outage back within about this time of its end.
-constexpr Duration lapsedEntryGrace = 2200ms;
-
-} // namespace
-
 void UpstreamDirectory::put(const UpstreamEntry& entry, std::uint64_t revision, Instant now)
 {
     m_upstreams.insert_or_assign(
         entry.instance, KnownUpstream { entry, revision, now + entry.coldFor, std::nullopt });
 }
 
-void UpstreamDirectory::remove(const InstanceId& instance, bool lapsed, Instant now)
+void UpstreamDirectory::remove(const InstanceId& instance, std::optional<Instant> awaitUntil)
 {
     const auto found = m_upstreams.find(instance);
     if (found == m_upstreams.end())
         return;
-    if (lapsed && !found->second.entry.draining) {
-        found->second.goneAt = now + lapsedEntryGrace;
+    if (awaitUntil && !found->second.entry.draining) {
+        found->second.goneAt = awaitUntil;
         return;
     }
     m_upstreams.erase(found);
--- a/src/coordination/UpstreamDirectory.h
+++ b/src/coordination/UpstreamDirectory.h
@@ -27,9 +27,9 @@
 public:
     /// An entry was written at a revision of the store.
     void put(const UpstreamEntry&, std::uint64_t revision, Instant now);
-    /// An entry was removed. With `lapsed` its upstream stays in use until the return of the entry is
-    /// overdue.
-    void remove(const InstanceId&, bool lapsed, Instant now);
+    /// An entry was removed. With `awaitUntil` it may have lapsed for want of the store only: its upstream
+    /// stays in use until then, unless it was draining.
+    void remove(const InstanceId&, std::optional<Instant> awaitUntil);
     /// Forgets the upstreams whose entry did not return.
     void expire(Instant now);
 
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -37,8 +37,8 @@
 constexpr Duration pauseLimit = 400ms;
 /// How long after a pause links are not judged by their silence.
 constexpr Duration pauseGrace = 500ms;
-/// Entries that vanish this soon after trouble with the store may come back.
-constexpr Duration lapseWindow = 2500ms;
+/// The platform puts entries that lapsed during an outage back within about this time of its end.
+constexpr Duration lapsedEntryGrace = 2200ms;
 /// Time in which the platform and the other nodes learn that this node is leaving; it serves on meanwhile.
 constexpr Duration leaveTime = 2500ms;
 /// Kept of the grace for the end of the process.
@@ -183,7 +183,7 @@
                     { "reason", read.error() } };
             });
             if (const auto instance = state.dialect.instanceOfKey(item.key)) {
-                state.directory.remove(*instance, false, now);
+                state.directory.remove(*instance, std::nullopt);
                 directoryChanged = true;
             }
             return;
@@ -199,13 +199,14 @@
         const auto instance = state.dialect.instanceOfKey(item.key);
         if (!instance)
             return;
-        const auto failedAt = store.failedAt();
-        const bool lapsed = failedAt && now - *failedAt < lapseWindow;
-        state.directory.remove(*instance, lapsed, now);
+        const auto returnedAt = store.returnedAt();
+        const bool mayReturn = returnedAt && now < *returnedAt + lapsedEntryGrace;
+        state.directory.remove(
+            *instance, mayReturn ? std::optional(*returnedAt + lapsedEntryGrace) : std::nullopt);
         directoryChanged = true;
         state.log.state("upstream entry removed", now, [&] {
             return nlohmann::json { { "instance", instance->text }, { "revision", item.revision },
-                { "mayReturn", lapsed } };
+                { "mayReturn", mayReturn } };
         });
     }
 
--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -23,6 +23,9 @@
 /// Pauses after failed calls, doubled with each up to the longest; the jitter spreads the nodes.
 constexpr Duration firstPause = 80ms;
 constexpr Duration longestPause = 400ms;
+/// Upstreams write their entries every one to two seconds, and these last for three times that: in a shorter
+/// outage none lapses.
+constexpr Duration lapsingOutage = 2s;
 /// Pause before the next watch, so that changes in quick succession come with one call.
 constexpr Duration gatherTime = 250ms;
 /// A suspected watch is renewed at most once in this time.
@@ -70,14 +73,14 @@
     {
         cancelTimer(follower);
         const std::uint64_t call = ++follower->call;
-        follower->timeout = timers.at(monotonicNow() + delay,
-            [weak = weak_from_this(), follower, call, step](Instant) {
-                const auto self = weak.lock();
-                if (!self || call != follower->call)
-                    return;
-                follower->timeout.reset();
-                ((*self).*step)(follower);
-            });
+        follower->timeout
+            = timers.at(monotonicNow() + delay, [weak = weak_from_this(), follower, call, step](Instant) {
+                  const auto self = weak.lock();
+                  if (!self || call != follower->call)
+                      return;
+                  follower->timeout.reset();
+                  ((*self).*step)(follower);
+              });
     }
 
     void cancelTimer(const FollowerPtr& follower)
@@ -125,8 +128,10 @@
         if (!follower->stream || !follower->stream->isOpen())
             return connect(follower);
         const std::string target = follower->watching
-            ? dialect.watchTarget(follower->prefix, std::max(follower->revision, mirror.revision()), watchWait)
-            : dialect.pageTarget(follower->prefix, follower->listed.empty() ? "" : follower->listed.back().key);
+            ? dialect.watchTarget(
+                follower->prefix, std::max(follower->revision, mirror.revision()), watchWait)
+            : dialect.pageTarget(
+                follower->prefix, follower->listed.empty() ? "" : follower->listed.back().key);
         RequestHead head;
         head.method = "GET";
         head.target = target;
@@ -182,6 +187,9 @@
         }
         follower->failures = 0;
         heardAt = monotonicNow();
+        if (failingSince && *heardAt - *failingSince >= lapsingOutage)
+            returnedAt = heardAt;
+        failingSince.reset();
         if (follower->watching)
             after(follower, gatherTime, &Internals::ask);
         else
@@ -249,9 +257,11 @@
     {
         dropStream(follower);
         startListing(follower);
-        failedAt = monotonicNow();
+        const Instant now = monotonicNow();
+        if (!failingSince)
+            failingSince = now;
         if (follower->failures++ == 0) {
-            log.state("store lost", *failedAt, [&] {
+            log.state("store lost", now, [&] {
                 return nlohmann::json { { "prefix", follower->prefix }, { "reason", reason },
                     { "revision", follower->revision } };
             });
@@ -268,7 +278,8 @@
     std::string address;
     RandomSource random;
     std::vector<FollowerPtr> followers;
-    std::optional<Instant> failedAt;
+    std::optional<Instant> failingSince; // while calls fail
+    std::optional<Instant> returnedAt;
     std::optional<Instant> heardAt;
     std::optional<Instant> suspectedAt;
     std::uint64_t calls { 0 };
@@ -276,8 +287,7 @@
 
 StoreReader::StoreReader(boost::asio::io_context& io, TimerService& timers, const PlatformDialect& dialect,
     StoreMirror& mirror, DecisionLog& log, std::string address, std::uint64_t seed)
-    : m_internals(
-        std::make_shared<Internals>(io, timers, dialect, mirror, log, std::move(address), seed))
+    : m_internals(std::make_shared<Internals>(io, timers, dialect, mirror, log, std::move(address), seed))
 {
 }
 
@@ -307,7 +317,7 @@
 
 void StoreReader::setAddress(std::string address) { m_internals->address = std::move(address); }
 
-std::optional<Instant> StoreReader::failedAt() const { return m_internals->failedAt; }
+std::optional<Instant> StoreReader::returnedAt() const { return m_internals->returnedAt; }
 
 std::optional<Instant> StoreReader::heardAt() const { return m_internals->heardAt; }
 
--- a/src/transport/StoreReader.h
+++ b/src/transport/StoreReader.h
@@ -28,8 +28,8 @@
     void suspect(Instant now);
     void setAddress(std::string address);
 
-    /// When a call failed last; nothing before the first failure.
-    std::optional<Instant> failedAt() const;
+    /// The end of the last outage that was long enough for entries to lapse; nothing before the first.
+    std::optional<Instant> returnedAt() const;
     /// When a call succeeded last.
     std::optional<Instant> heardAt() const;
     std::uint64_t calls() const;
--- a/test/correctness/DirectoryFollowsTheEntries.cpp
+++ b/test/correctness/DirectoryFollowsTheEntries.cpp
@@ -43,7 +43,7 @@
     directory.put(makeEntry("i-1", "10.0.0.1:80"), 9, start);
     CHECK(usable(directory) == std::vector<std::string> { "i-1" });
     CHECK(directory.atAddress("10.0.0.1:80")->entry.instance.text == "i-1");
-    directory.remove({ "i-9" }, false, start);
+    directory.remove({ "i-9" }, std::nullopt);
     CHECK(usable(directory) == std::vector<std::string> { "i-1" });
 }
 
@@ -51,10 +51,10 @@
 {
     UpstreamDirectory directory;
     directory.put(makeEntry("i-1", "10.0.0.1:80"), 5, start);
-    directory.remove({ "i-1" }, true, start);
-    directory.expire(start + 2s);
+    directory.remove({ "i-1" }, start + 1s);
+    directory.expire(start + 999ms);
     CHECK(usable(directory).size() == 1);
-    directory.expire(start + 3s);
+    directory.expire(start + 1s);
     CHECK(usable(directory).empty());
 }
 
@@ -62,7 +62,7 @@
 {
     UpstreamDirectory directory;
     directory.put(makeEntry("i-1", "10.0.0.1:80"), 5, start);
-    directory.remove({ "i-1" }, true, start);
+    directory.remove({ "i-1" }, start + 2s);
     directory.put(makeEntry("i-1", "10.0.0.1:80"), 8, start + 1s);
     directory.expire(start + 3s);
     CHECK(usable(directory).size() == 1);
@@ -72,6 +72,14 @@
 {
     UpstreamDirectory directory;
     directory.put(makeEntry("i-1", "10.0.0.1:80", true), 5, start);
-    directory.remove({ "i-1" }, true, start);
+    directory.remove({ "i-1" }, start + 2s);
+    CHECK(directory.size() == 0);
+}
+
+TEST_CASE("an entry that is removed while the store is well is gone at once")
+{
+    UpstreamDirectory directory;
+    directory.put(makeEntry("i-1", "10.0.0.1:80"), 5, start);
+    directory.remove({ "i-1" }, std::nullopt);
     CHECK(directory.size() == 0);
 }
