Keep using upstreams whose VM has lost the store

Nodes now say in their beats whether they reach the store; an entry that ends while its VM does not stays in use until the VM's return and the platform's two seconds are over. One that ends while its VM has contact is gone at once. A line a second tells each node's load; lines of failures no longer crowd out those of sampled requests.

--- /dev/null
+++ b/src/coordination/StoreContacts.cpp
@@ -0,0 +1,25 @@
+// The last report of each VM.
+#include "coordination/StoreContacts.h"
+
+namespace Ebonystack {
+namespace {
+
+/// Nodes report with every beat; a VM that misses a few may be gone.
+constexpr Duration reportLife = std::chrono::milliseconds(2500);
+
+} // namespace
+
+void StoreContacts::report(const VmId& vm, bool reachesStore, Instant now)
+{
+    m_reports.insert_or_assign(vm, Report { reachesStore, now });
+}
+
+StoreContact StoreContacts::of(const VmId& vm, Instant now) const
+{
+    const auto found = m_reports.find(vm);
+    if (found == m_reports.end() || now - found->second.at > reportLife)
+        return StoreContact::Unknown;
+    return found->second.reachesStore ? StoreContact::Present : StoreContact::Lost;
+}
+
+} // namespace Ebonystack
--- a/src/coordination/UpstreamDirectory.cpp
+++ b/src/coordination/UpstreamDirectory.cpp
@@ -7,7 +7,7 @@
 void UpstreamDirectory::put(const UpstreamEntry& entry, std::uint64_t revision, Instant now)
 {
     m_upstreams.insert_or_assign(
-        entry.instance, KnownUpstream { entry, revision, now + entry.coldFor, std::nullopt });
+        entry.instance, KnownUpstream { entry, revision, now + entry.coldFor, std::nullopt, false });
 }
 
 void UpstreamDirectory::remove(const InstanceId& instance, std::optional<Instant> awaitUntil)
@@ -22,8 +22,28 @@
     m_upstreams.erase(found);
 }
 
-void UpstreamDirectory::expire(Instant now)
+void UpstreamDirectory::removeWithoutContact(const InstanceId& instance)
 {
+    const auto found = m_upstreams.find(instance);
+    if (found == m_upstreams.end())
+        return;
+    if (found->second.entry.draining)
+        m_upstreams.erase(found);
+    else
+        found->second.awaitsContact = true;
+}
+
+void UpstreamDirectory::expire(const StoreContacts& contacts, Instant now)
+{
+    for (auto& [instance, upstream] : m_upstreams) {
+        if (!upstream.awaitsContact)
+            continue;
+        const StoreContact contact = contacts.of(upstream.entry.vm, now);
+        if (contact == StoreContact::Lost)
+            continue;
+        upstream.awaitsContact = false;
+        upstream.goneAt = contact == StoreContact::Present ? now + lapsedEntryGrace : now;
+    }
     std::erase_if(
         m_upstreams, [&](const auto& item) { return item.second.goneAt && *item.second.goneAt <= now; });
 }
--- a/src/coordination/UpstreamDirectory.h
+++ b/src/coordination/UpstreamDirectory.h
@@ -1,7 +1,8 @@
-// Which upstreams may get work, by the platform's published entries. An entry that disappears while the
-// store is in trouble may come back, so its upstream stays in use for a short time after the store's return.
+// Which upstreams may get work, by the platform's published entries. An entry that disappears for want of
+// contact with the store may come back, so its upstream stays in use until that is overdue.
 #pragma once
 
+#include "coordination/StoreContacts.h"
 #include "state/UpstreamEntry.h"
 
 #include <functional>
@@ -18,10 +19,14 @@
     std::uint64_t revision { 0 }; ///< of the store, at the entry's last write
     Instant coldUntil; ///< it is slow until then
     std::optional<Instant> goneAt; ///< its entry has lapsed: out of use from then on
+    bool awaitsContact { false }; ///< its entry has lapsed, and its VM has no contact with the store
 
     auto operator<=>(const KnownUpstream&) const = default;
 };
 
+/// The platform puts entries that lapsed for want of contact back within about this time of its return.
+constexpr Duration lapsedEntryGrace = std::chrono::milliseconds(2200);
+
 /// Not thread-safe.
 class UpstreamDirectory {
 public:
@@ -30,8 +35,10 @@
     /// An entry was removed. With `awaitUntil` it may have lapsed for want of the store only: its upstream
     /// stays in use until then, unless it was draining.
     void remove(const InstanceId&, std::optional<Instant> awaitUntil);
-    /// Forgets the upstreams whose entry did not return.
-    void expire(Instant now);
+    /// An entry was removed while its VM had no contact with the store.
+    void removeWithoutContact(const InstanceId&);
+    /// Forgets the upstreams whose entry did not return in time.
+    void expire(const StoreContacts&, Instant now);
 
     /// The upstreams of a service that take new work. An address has one upstream at a time: where several
     /// entries name it, the one written last holds, and the others are those of ended instances.
--- a/src/protocol/HopFrame.cpp
+++ b/src/protocol/HopFrame.cpp
@@ -55,7 +55,7 @@
 
 Json write(const LinkBeat& frame)
 {
-    Json json = Json::array({ loadOf(frame.load), frame.storeRevision });
+    Json json = Json::array({ loadOf(frame.load), frame.storeRevision, frame.reachesStore });
     if (frame.uptime)
         json.push_back(*frame.uptime);
     return json;
@@ -107,9 +107,9 @@
 
 HopFrame readBeat(const Json& json)
 {
-    LinkBeat beat { toLoad(json.at(0)), json.at(1), std::nullopt };
-    if (json.size() > 2)
-        beat.uptime = json.at(2).get<double>();
+    LinkBeat beat { toLoad(json.at(0)), json.at(1), json.at(2), std::nullopt };
+    if (json.size() > 3)
+        beat.uptime = json.at(3).get<double>();
     return beat;
 }
 
--- a/src/protocol/HopFrame.h
+++ b/src/protocol/HopFrame.h
@@ -32,6 +32,7 @@
 struct LinkBeat {
     UpstreamLoad load;
     std::uint64_t storeRevision { 0 }; ///< see StoreMirror::revision
+    bool reachesStore { true };
     std::optional<double> uptime; ///< seconds; absent in answers
 
     auto operator<=>(const LinkBeat&) const = default;
--- a/src/transport/DecisionLog.cpp
+++ b/src/transport/DecisionLog.cpp
@@ -13,8 +13,8 @@
 
 /// One request in this many is logged whole.
 constexpr std::uint64_t requestsPerSample = 128;
-/// Bound on lines: about 10 KB a second.
-constexpr std::uint32_t linesPerSecond = 40;
+/// Bound on lines of each share: about 10 KB a second in all.
+constexpr std::uint32_t linesPerSecond = 20;
 
 bool isSampled(std::string_view id) { return XXH3_64bits(id.data(), id.size()) % requestsPerSample == 0; }
 
@@ -30,38 +30,39 @@
 
 void DecisionLog::request(std::string_view event, std::string_view id, Instant now, const Fields& fields)
 {
-    if (isSampled(id) && mayWrite(now))
+    if (isSampled(id) && mayWrite(Share::Requests, now))
         write(Log::Level::Info, event, id, fields);
 }
 
 void DecisionLog::failure(std::string_view event, std::string_view id, Instant now, const Fields& fields)
 {
-    if (mayWrite(now))
+    if (mayWrite(Share::Failures, now))
         write(Log::Level::Warning, event, id, fields);
 }
 
 void DecisionLog::state(std::string_view event, Instant now, const Fields& fields)
 {
-    if (mayWrite(now))
+    if (mayWrite(Share::State, now))
         write(Log::Level::Info, event, {}, fields);
 }
 
-bool DecisionLog::mayWrite(Instant now)
+bool DecisionLog::mayWrite(Share share, Instant now)
 {
     if (!Log::enabled(Log::Level::Info))
         return false;
     if (now - m_second >= 1s) {
         m_second = now;
-        m_written = 0;
+        m_written = {};
         if (m_leftOut > 0)
             Log::write(Log::Level::Info, "lines left out", { { "count", m_leftOut } });
         m_leftOut = 0;
     }
-    if (m_written >= linesPerSecond) {
+    std::uint32_t& written = m_written[static_cast<std::size_t>(share)];
+    if (written >= linesPerSecond) {
         ++m_leftOut;
         return false;
     }
-    ++m_written;
+    ++written;
     return true;
 }
 
--- a/src/transport/DecisionLog.h
+++ b/src/transport/DecisionLog.h
@@ -1,11 +1,12 @@
-// The structured log of a sidecar: a line for each decision that touches a request or changes what the process
-// believes. The volume is bounded: the same requests are chosen on every node by their id, so that a chosen
-// one can be followed along its path, and failures are added up to a number of lines a second. What is left
-// out is counted.
+// The structured log of a sidecar: a line for each decision that touches a request or changes what the
+// process believes. The volume is bounded: the same requests are chosen on every node by their id, so that a
+// chosen one can be followed along its path, and failures are added up to a number of lines a second. What is
+// left out is counted.
 #pragma once
 
 #include "state/Time.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json_fwd.hpp>
@@ -26,10 +27,18 @@
     void state(std::string_view event, Instant now, const Fields& fields);
 
 private:
-    bool mayWrite(Instant now);
+    /// What a line counts against: failures in a flood must not crowd out the rest.
+    enum class Share : std::uint8_t {
+        Requests,
+        Failures,
+        State,
+    };
+    static constexpr std::size_t shareCount = 3;
+
+    bool mayWrite(Share, Instant now);
 
     Instant m_second; // begin of the second that m_written counts
-    std::uint32_t m_written { 0 };
+    std::array<std::uint32_t, shareCount> m_written {};
     std::uint64_t m_leftOut { 0 };
 };
 
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -1,6 +1,7 @@
 // Composition, periodic work, readiness, and the end of the process.
 #include "transport/Sidecar.h"
 
+#include "coordination/StoreContacts.h"
 #include "coordination/StoreMirror.h"
 #include "transport/ByteStream.h"
 #include "transport/CallerServer.h"
@@ -37,8 +38,6 @@
 constexpr Duration pauseLimit = 400ms;
 /// How long after a pause links are not judged by their silence.
 constexpr Duration pauseGrace = 500ms;
-/// The platform puts entries that lapsed during an outage back within about this time of its end.
-constexpr Duration lapsedEntryGrace = 2200ms;
 /// Time in which the platform and the other nodes learn that this node is leaving; it serves on meanwhile.
 constexpr Duration leaveTime = 2500ms;
 /// Kept of the grace for the end of the process.
@@ -120,7 +119,25 @@
             entry.plan(at);
             callers.tend(at);
         });
-        state.timers.every(now, slowPeriod, [this](Instant) { state.costs.fade(); });
+        state.timers.every(now, slowPeriod, [this](Instant at) {
+            state.costs.fade();
+            logLoad(at);
+        });
+    }
+
+    /// One line a second with what the other nodes hear of this one, while it is not idle.
+    void logLoad(Instant now)
+    {
+        const UpstreamLoad load = hop.load();
+        if (load.gate.running == 0 && entry.open() == 0)
+            return;
+        state.log.state("load", now, [&] {
+            return nlohmann::json { { "running", load.gate.running }, { "queued", load.gate.queued },
+                { "limit", load.gate.limit }, { "shedShare", load.shedShare },
+                { "holdMs", toMilliseconds(load.hold) }, { "accepts", load.accepts },
+                { "openCalls", entry.open() }, { "linksUp", links.upCount() },
+                { "storeRevision", mirror.revision() } };
+        });
     }
 
     void nextTick()
@@ -152,7 +169,8 @@
 
     void tendLinks(Instant now)
     {
-        state.directory.expire(now);
+        contacts.report(self.vm, !store.isAway(now), now);
+        state.directory.expire(contacts, now);
         if (std::exchange(directoryChanged, false) || now - peersSetAt > slowPeriod)
             refreshPeers(now);
         if (!pausedAt || now - *pausedAt > pauseGrace)
@@ -199,14 +217,19 @@
         const auto instance = state.dialect.instanceOfKey(item.key);
         if (!instance)
             return;
+        const KnownUpstream* upstream = state.directory.find(*instance);
+        const bool lacksContact = upstream && contacts.of(upstream->entry.vm, now) == StoreContact::Lost;
         const auto returnedAt = store.returnedAt();
-        const bool mayReturn = returnedAt && now < *returnedAt + lapsedEntryGrace;
-        state.directory.remove(
-            *instance, mayReturn ? std::optional(*returnedAt + lapsedEntryGrace) : std::nullopt);
+        const bool storeWasAway = returnedAt && now < *returnedAt + lapsedEntryGrace;
+        if (lacksContact)
+            state.directory.removeWithoutContact(*instance);
+        else
+            state.directory.remove(
+                *instance, storeWasAway ? std::optional(*returnedAt + lapsedEntryGrace) : std::nullopt);
         directoryChanged = true;
         state.log.state("upstream entry removed", now, [&] {
             return nlohmann::json { { "instance", instance->text }, { "revision", item.revision },
-                { "mayReturn", mayReturn } };
+                { "lacksContact", lacksContact }, { "storeWasAway", storeWasAway } };
         });
     }
 
@@ -242,13 +265,15 @@
 
     LinkBeat ownBeat() const override
     {
-        return { hop.load(), mirror.revision(), toSeconds(monotonicNow() - startedAt) };
+        const Instant now = monotonicNow();
+        return { hop.load(), mirror.revision(), !store.isAway(now), toSeconds(now - startedAt) };
     }
 
     void onBeat(const VmId& vm, const LinkBeat& beat) override
     {
         const Instant now = monotonicNow();
         state.choice.observe(vm, beat.load, now);
+        contacts.report(vm, beat.reachesStore, now);
         if (beat.storeRevision <= mirror.revision())
             return;
         if (now - askedAt > linkPeriod && links.send(vm, StoreAsk { mirror.revision() }))
@@ -419,6 +444,7 @@
     Reload reload;
     const HopOrigin self;
     StoreMirror mirror;
+    StoreContacts contacts;
     StoreReader store;
     PeerLinks links;
     HopService hop;
--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -26,6 +26,8 @@
 /// Upstreams write their entries every one to two seconds, and these last for three times that: in a shorter
 /// outage none lapses.
 constexpr Duration lapsingOutage = 2s;
+/// A watch that was cut is back within this time.
+constexpr Duration hiccup = 600ms;
 /// Pause before the next watch, so that changes in quick succession come with one call.
 constexpr Duration gatherTime = 250ms;
 /// A suspected watch is renewed at most once in this time.
@@ -317,6 +319,11 @@
 
 void StoreReader::setAddress(std::string address) { m_internals->address = std::move(address); }
 
+bool StoreReader::isAway(Instant now) const
+{
+    return m_internals->failingSince && now - *m_internals->failingSince > hiccup;
+}
+
 std::optional<Instant> StoreReader::returnedAt() const { return m_internals->returnedAt; }
 
 std::optional<Instant> StoreReader::heardAt() const { return m_internals->heardAt; }
--- a/src/transport/StoreReader.h
+++ b/src/transport/StoreReader.h
@@ -30,6 +30,8 @@
 
     /// The end of the last outage that was long enough for entries to lapse; nothing before the first.
     std::optional<Instant> returnedAt() const;
+    /// Whether calls have been failing for longer than a hiccup.
+    bool isAway(Instant now) const;
     /// When a call succeeded last.
     std::optional<Instant> heardAt() const;
     std::uint64_t calls() const;
--- a/test/correctness/DirectoryFollowsTheEntries.cpp
+++ b/test/correctness/DirectoryFollowsTheEntries.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Instant start { 100s };
+const StoreContacts noContacts;
 const ServiceName registry { "registry" };
 
 UpstreamEntry makeEntry(std::string instance, std::string address, bool draining = false)
@@ -52,9 +53,9 @@
     UpstreamDirectory directory;
     directory.put(makeEntry("i-1", "10.0.0.1:80"), 5, start);
     directory.remove({ "i-1" }, start + 1s);
-    directory.expire(start + 999ms);
+    directory.expire(noContacts, start + 999ms);
     CHECK(usable(directory).size() == 1);
-    directory.expire(start + 1s);
+    directory.expire(noContacts, start + 1s);
     CHECK(usable(directory).empty());
 }
 
@@ -64,7 +65,7 @@
     directory.put(makeEntry("i-1", "10.0.0.1:80"), 5, start);
     directory.remove({ "i-1" }, start + 2s);
     directory.put(makeEntry("i-1", "10.0.0.1:80"), 8, start + 1s);
-    directory.expire(start + 3s);
+    directory.expire(noContacts, start + 3s);
     CHECK(usable(directory).size() == 1);
 }
 
@@ -83,3 +84,31 @@
     directory.remove({ "i-1" }, std::nullopt);
     CHECK(directory.size() == 0);
 }
+
+TEST_CASE(
+    "an upstream whose VM has lost the store stays in use until its entry is overdue after the VM's return")
+{
+    StoreContacts contacts;
+    UpstreamDirectory directory;
+    directory.put(makeEntry("i-1", "10.0.0.1:80"), 5, start);
+    contacts.report({ "10.0.0.1" }, false, start);
+    directory.removeWithoutContact({ "i-1" });
+    directory.expire(contacts, start + 2s);
+    CHECK(usable(directory).size() == 1);
+    contacts.report({ "10.0.0.1" }, true, start + 4s);
+    directory.expire(contacts, start + 4s);
+    CHECK(usable(directory).size() == 1);
+    directory.expire(contacts, start + 4s + lapsedEntryGrace);
+    CHECK(usable(directory).empty());
+}
+
+TEST_CASE("a lapsed upstream whose VM is not heard of any more is gone")
+{
+    StoreContacts contacts;
+    UpstreamDirectory directory;
+    directory.put(makeEntry("i-1", "10.0.0.1:80"), 5, start);
+    contacts.report({ "10.0.0.1" }, false, start);
+    directory.removeWithoutContact({ "i-1" });
+    directory.expire(contacts, start + 5s);
+    CHECK(usable(directory).empty());
+}
