Take no request that would outlast a leaving node

Requests that could last longer than the node are now refused as not run, at the entry and at the hop.

--- a/src/protocol/HopFrame.h
+++ b/src/protocol/HopFrame.h
@@ -73,6 +73,7 @@
     AnswerInvalid, ///< the upstream's answer was no answer to this request
     ConnectionLost, ///< the upstream's connection ended early
     TooLate, ///< the deadline passed
+    NodeLeaving, ///< the node would end before the request
     UnknownRequest, ///< the node has not received it
     Cancelled,
 };
--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -99,7 +99,7 @@
         connection->serving = false;
         connection->call.reset();
         connection->since = monotonicNow();
-        response.head.keepAlive = connection->keepAlive && !state.leaving;
+        response.head.keepAlive = connection->keepAlive && !state.isLeaving();
         connection->stream->write(writeResponse(response.head, response.body, connection->toHead));
         if (!response.head.keepAlive)
             return closeAfterWriting(connection);
@@ -191,7 +191,8 @@
         if (writing && age > stallLimit)
             m_internals->drop(connection);
         else if (reading && !connection->parser->headDone() && age > limits.headerTimeout + idleMargin)
-            m_internals->refuse(connection, notRun(ResultCode::SenderTooSlow, "the header did not arrive in time"));
+            m_internals->refuse(
+                connection, notRun(ResultCode::SenderTooSlow, "the header did not arrive in time"));
         else if (!reading && !writing && age > limits.idleTimeout + idleMargin)
             m_internals->drop(connection);
     }
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -155,6 +155,9 @@
         if (auto refusal = authenticate(call))
             return refusal;
         setTimes(call);
+        if (!state.canFinish(call.answerBy + transitTime))
+            return notRun(ResultCode::NodeLeaving, "the node ends before the request would",
+                adviceWithin(call, shortAdvice));
         call.service = split.next(*call.route);
         setFields(call);
         if (call.inner)
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -68,7 +68,7 @@
 
     UpstreamLoad load(Instant now) const
     {
-        const bool accepts = !state.leaving && now >= downUntil;
+        const bool accepts = !state.isLeaving() && now >= downUntil;
         return { gate.state(), pressure.shedShare(), gate.meanHold(), accepts };
     }
 
@@ -86,6 +86,8 @@
         ++openJobs;
         if (drainingSince && now - *drainingSince > fromSeconds(toSeconds(state.settings.drain) * drainShare))
             return finishNotRun(job, HopReason::UpstreamDraining);
+        if (!state.canFinish(job->deadline))
+            return finishNotRun(job, HopReason::NodeLeaving);
         const Duration hold = state.costs.holdOf(job->request.route, assumedHold);
         const Instant byDeadline = job->deadline - hold;
         const Instant byPatience = now + fromSeconds(toSeconds(job->request.timeLeft) * waitShare);
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -163,7 +163,7 @@
         }
         lastTick = now;
         state.timers.advance(now);
-        if (state.leaving)
+        if (state.isLeaving())
             endWhenDone(now);
     }
 
@@ -375,7 +375,7 @@
 
     StatusPage readinessPage() const
     {
-        const bool ready = state.config && !state.leaving && state.directory.size() > 0;
+        const bool ready = state.config && !state.isLeaving() && state.directory.size() > 0;
         return { static_cast<std::uint16_t>(ready ? 200 : 503), "text/plain",
             ready ? "ready\n" : "not ready\n" };
     }
@@ -419,10 +419,10 @@
 
     void leave()
     {
-        if (state.leaving)
+        if (state.isLeaving())
             return;
-        state.leaving = true;
         leavingSince = monotonicNow();
+        state.endsAt = leavingSince + std::max(leaveTime, state.settings.grace - graceMargin);
         Log::write(
             Log::Level::Info, "leaving", { { "openCalls", entry.open() }, { "openHops", hop.open() } });
         links.beatNow(leavingSince);
@@ -430,9 +430,8 @@
 
     void endWhenDone(Instant now)
     {
-        const Duration age = now - leavingSince;
         const bool quiet = entry.open() == 0 && hop.open() == 0 && callers.busy() == 0;
-        if (age > state.settings.grace - graceMargin || (age > leaveTime && quiet)) {
+        if (now > *state.endsAt || (now - leavingSince > leaveTime && quiet)) {
             ended = true;
             callers.closeIdle();
             io.stop();
@@ -462,7 +461,7 @@
     Instant lastTick;
     Instant peersSetAt;
     Instant askedAt; // when a peer was asked for store changes last
-    Instant leavingSince; // set while state.leaving
+    Instant leavingSince; // set while the node is leaving
     std::optional<Instant> pausedAt;
     bool directoryChanged { false };
     bool ended { false };
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Ebonystack {
@@ -57,7 +58,11 @@
     CallCosts costs;
     UpstreamChoice choice;
     RepeatBudget repeats;
-    bool leaving { false };
+    std::optional<Instant> endsAt; ///< set while the node is leaving: no request is open after that
+
+    bool isLeaving() const { return endsAt.has_value(); }
+    /// Whether a request that may last until `deadline` can be taken: it ends before the node does.
+    bool canFinish(Instant deadline) const { return !endsAt || deadline <= *endsAt; }
     SidecarCounters counters;
 };
 
--- a/test/correctness/EntryGivesOneAnswer.cpp
+++ b/test/correctness/EntryGivesOneAnswer.cpp
@@ -177,3 +177,17 @@
     bench.begin("/read/1", "2");
     CHECK(bench.path.sent.size() == 1);
 }
+
+TEST_CASE("a node that is leaving takes only requests that end before it does")
+{
+    EntryBench bench;
+    bench.state.endsAt = bench.now + 2s;
+    bench.begin("/order/1", "1"); // its route's timeout is 200 ms
+    CHECK(bench.path.sent.size() == 1);
+    bench.now += 1900ms;
+    bench.begin("/order/1", "2");
+    REQUIRE(bench.answers.size() == 1);
+    CHECK(bench.answers[0].head.status == 503);
+    CHECK(bench.answers[0].head.fields.find("Retry-After"));
+    CHECK(bench.path.sent.size() == 1);
+}
