--- /dev/null
+++ b/test/correctness/GateKeepsSlotsBusy.cpp
@@ -0,0 +1,101 @@
+// The gate in front of an upstream: how many run, who starts next, and who is turned away at once.
+#include "coordination/SlotGate.h"
+
+#include <doctest/doctest.h>
+
+using namespace Ebonystack;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start { 100s };
+
+/// A gate for an upstream of 5 slots, of which one stays free.
+SlotGate makeGate()
+{
+    SlotGate gate;
+    gate.setSlots(5, start);
+    return gate;
+}
+
+GateRequest makeRequest(GateTicket ticket, int rank = 0, Duration patience = 10s)
+{
+    return { ticket, rank, start + patience };
+}
+
+void fill(SlotGate& gate)
+{
+    for (GateTicket ticket = 1; ticket <= 4; ++ticket)
+        CHECK(gate.arrive(makeRequest(ticket), start) == GateVerdict::Run);
+}
+
+} // namespace
+
+TEST_CASE("requests run while there are slots, and then wait")
+{
+    SlotGate gate = makeGate();
+    fill(gate);
+    CHECK(gate.arrive(makeRequest(5), start) == GateVerdict::Queued);
+    CHECK(gate.state() == GateState { 4, 1, 4 });
+    CHECK(gate.depart(10ms, start) == std::vector<GateTicket> { 5 });
+    CHECK(gate.state() == GateState { 4, 0, 4 });
+}
+
+TEST_CASE("lower ranks start first, and earlier ones among equals")
+{
+    SlotGate gate = makeGate();
+    fill(gate);
+    gate.arrive(makeRequest(5, 2), start);
+    gate.arrive(makeRequest(6, 1), start);
+    gate.arrive(makeRequest(7, -1), start);
+    gate.arrive(makeRequest(8, 1), start);
+    std::vector<GateTicket> order;
+    for (int i = 0; i < 4; ++i)
+        order.push_back(gate.depart(10ms, start).at(0));
+    CHECK(order == std::vector<GateTicket> { 7, 6, 8, 5 });
+}
+
+TEST_CASE("a request that would start too late is turned away at once")
+{
+    SlotGate gate = makeGate();
+    fill(gate);
+    CHECK(gate.arrive(makeRequest(5, 0, 1ms), start) == GateVerdict::Refused);
+    CHECK(gate.state().queued == 0);
+}
+
+TEST_CASE("a request that has waited too long is given up, and does not start any more")
+{
+    SlotGate gate = makeGate();
+    fill(gate);
+    gate.arrive(makeRequest(5, 0, 100ms), start);
+    CHECK(gate.depart(10ms, start + 200ms).empty());
+    CHECK(gate.expire(start + 200ms) == std::vector<GateTicket> { 5 });
+    CHECK(gate.expire(start + 200ms).empty());
+}
+
+TEST_CASE("a withdrawn request leaves the queue")
+{
+    SlotGate gate = makeGate();
+    fill(gate);
+    gate.arrive(makeRequest(5), start);
+    CHECK(gate.withdraw(5));
+    CHECK_FALSE(gate.withdraw(5));
+    CHECK(gate.depart(10ms, start).empty());
+}
+
+TEST_CASE("more slots start waiting requests")
+{
+    SlotGate gate = makeGate();
+    fill(gate);
+    gate.arrive(makeRequest(5), start);
+    gate.arrive(makeRequest(6), start);
+    CHECK(gate.setSlots(7, start) == std::vector<GateTicket> { 5, 6 });
+}
+
+TEST_CASE("the expected wait grows with the requests ahead only")
+{
+    SlotGate gate = makeGate();
+    fill(gate);
+    gate.arrive(makeRequest(5, 5), start);
+    CHECK(gate.expectedWait(0) < gate.expectedWait(5));
+}
--- /dev/null
+++ b/test/correctness/PlatformWordsStayInTheirFolder.cpp
@@ -0,0 +1,43 @@
+// Names of headers, calls and fields that only the users' platform has appear in platform/ and its tests
+// alone.
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace {
+
+const std::vector<std::string> platformWords { "Ebonystack-", "/kv-", "path_prefix", "route_kind", "api_keys",
+    "rate_per_s", "cold_left", "current_rev", "tombstone", "app_addr", "op/config", "target_latency",
+    "retry_budget", "max_attempts" };
+
+bool isSource(const std::filesystem::path& path)
+{
+    return path.extension() == ".h" || path.extension() == ".cpp";
+}
+
+} // namespace
+
+TEST_CASE("no wire name of the platform outside its folder")
+{
+    const std::filesystem::path root(EBONY_SOURCE_DIR);
+    std::size_t files = 0;
+    for (const char* folder : { "src", "apps", "tools" }) {
+        for (const auto& entry : std::filesystem::recursive_directory_iterator(root / folder)) {
+            if (!isSource(entry.path()))
+                continue;
+            ++files;
+            std::ifstream stream(entry.path());
+            std::ostringstream text;
+            text << stream.rdbuf();
+            for (const std::string& word : platformWords) {
+                CAPTURE(entry.path().string());
+                CAPTURE(word);
+                CHECK(text.str().find(word) == std::string::npos);
+            }
+        }
+    }
+    CHECK(files > 100);
+}
--- /dev/null
+++ b/test/fuzz/HopFramesHoldUp.cpp
@@ -0,0 +1,88 @@
+// Frames between nodes: each kind survives a round trip, and damaged bytes are refused without harm.
+#include "protocol/HopFrame.h"
+#include "state/RandomSource.h"
+
+#include <doctest/doctest.h>
+
+using namespace Ebonystack;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<HopFrame> makeFrames()
+{
+    HopRequest request;
+    request.number = 7;
+    request.route = { "read" };
+    request.timeLeft = 800ms;
+    request.rank = -1;
+    request.repeatable = true;
+    request.again = true;
+    request.instance = { "i-1" };
+    request.method = "POST";
+    request.target = "/a/b?c=\xff";
+    request.fields.add("Host", "example");
+    request.body = std::string("\0\xfe\xff", 3);
+    HopAnswer answer;
+    answer.number = 7;
+    answer.outcome = HopOutcome::Answered;
+    answer.reason = HopReason::GateFull;
+    answer.status = 200;
+    answer.fields.add("X", "y");
+    answer.body = "body";
+    answer.load = { { 1, 2, 3 }, 0.25, 30ms, false };
+    answer.costs = { { { "deep" }, 0.24 } };
+    answer.waited = 3ms;
+    return { LinkHello { { "10.0.0.1" }, 99 }, LinkBeat { answer.load, 5, false, 1.5 },
+        LinkBeat { answer.load, 5, true, std::nullopt }, request, answer, HopCancel { 7 },
+        HopResume { { 1, 2 } }, StoreAsk { 4 },
+        StoreShare { 6, { { "k", 5, "v" }, { "l", 6, std::nullopt } } }, TokenAsk { 1, { "team" }, 3 },
+        TokenAnswer { 1, 2, 5ms } };
+}
+
+} // namespace
+
+TEST_CASE("every frame survives a round trip")
+{
+    for (const HopFrame& frame : makeFrames()) {
+        std::size_t consumed = 0;
+        const std::string bytes = encodeFrame(frame);
+        const auto decoded = decodeFrame(bytes + "rest", consumed);
+        REQUIRE(decoded);
+        REQUIRE(*decoded);
+        CHECK(**decoded == frame);
+        CHECK(consumed == bytes.size());
+    }
+}
+
+TEST_CASE("an incomplete frame is waited for")
+{
+    const std::string bytes = encodeFrame(HopCancel { 7 });
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        std::size_t consumed = 0;
+        const auto decoded = decodeFrame(bytes.substr(0, length), consumed);
+        REQUIRE(decoded);
+        CHECK_FALSE(*decoded);
+    }
+}
+
+TEST_CASE("damaged frames are refused or read as something, and never more than that")
+{
+    RandomSource random(20261204);
+    for (const HopFrame& frame : makeFrames()) {
+        for (int round = 0; round < 400; ++round) {
+            std::string bytes = encodeFrame(frame);
+            for (int change = 0; change < 3; ++change)
+                bytes[4 + random.below(bytes.size() - 4)] = static_cast<char>(random());
+            std::size_t consumed = 0;
+            const auto decoded = decodeFrame(bytes, consumed);
+            CHECK((!decoded || consumed <= bytes.size()));
+        }
+    }
+}
+
+TEST_CASE("a frame that claims to be huge is refused at once")
+{
+    std::size_t consumed = 0;
+    CHECK_FALSE(decodeFrame(std::string("\xff\xff\xff\xff", 4), consumed));
+}
