--- a/src/transport/BeastSupport.h
+++ b/src/transport/BeastSupport.h
@@ -1,8 +1,8 @@
 // What the two connection classes share. Only they include this file, which brings in the HTTP library.
 #pragma once
 
-#include "transport/Awaitable.h"
 #include "protocol/HttpMessage.h"
+#include "transport/Awaitable.h"
 #include "transport/SystemClock.h"
 
 #include <array>
--- a/src/transport/ByteStream.cpp
+++ b/src/transport/ByteStream.cpp
@@ -23,7 +23,7 @@
 constexpr int probeEverySeconds = 1;
 constexpr int probesUntilBroken = 2;
 /// All streams read into the same bytes: the loop has one thread, and callbacks copy what they keep.
-std::array<char, 64 * 1024> readBuffer;
+std::array<char, 65536> readBuffer;
 
 void setOption(int socket, int level, int name, int value)
 {
@@ -140,8 +140,7 @@
     if (!isOpen() || unsent() == 0)
         return;
     ErrorCode error;
-    const std::size_t count
-        = m_socket.write_some(Asio::buffer(m_output.data() + m_sent, unsent()), error);
+    const std::size_t count = m_socket.write_some(Asio::buffer(m_output.data() + m_sent, unsent()), error);
     if (error && error != Asio::error::would_block && error != Asio::error::try_again) {
         // What the other side sent before the break is still to be read, so the reader reports the end.
         m_output.clear();
--- a/src/transport/ByteStream.h
+++ b/src/transport/ByteStream.h
@@ -1,5 +1,5 @@
-// One TCP connection of the node's event loop: bytes in by callback, bytes out through a buffer that is written
-// once per turn of the loop. A connection that goes silent is ended by TCP's own timers.
+// One TCP connection of the node's event loop: bytes in by callback, bytes out through a buffer that is
+// written once per turn of the loop. A connection that goes silent is ended by TCP's own timers.
 #pragma once
 
 #include "state/Time.h"
--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -188,13 +188,13 @@
         const Duration age = now - connection->since;
         const bool reading = connection->parser.has_value();
         const bool writing = connection->stream->unsent() > 0;
-        if (writing && age > stallLimit)
+        const bool stalls = writing && age > stallLimit;
+        const bool idles = !reading && !writing && age > limits.idleTimeout + idleMargin;
+        if (stalls || idles)
             m_internals->drop(connection);
         else if (reading && !connection->parser->headDone() && age > limits.headerTimeout + idleMargin)
             m_internals->refuse(
                 connection, notRun(ResultCode::SenderTooSlow, "the header did not arrive in time"));
-        else if (!reading && !writing && age > limits.idleTimeout + idleMargin)
-            m_internals->drop(connection);
     }
 }
 
--- a/src/transport/ClientConnection.h
+++ b/src/transport/ClientConnection.h
@@ -1,10 +1,10 @@
 // The client's side of one HTTP/1.1 connection: one exchange at a time, never reused after one that broke.
 #pragma once
 
+#include "protocol/HttpMessage.h"
 #include "state/Time.h"
 #include "transport/Awaitable.h"
 #include "transport/HttpAddress.h"
-#include "protocol/HttpMessage.h"
 #include "transport/PeerSecurity.h"
 
 #include <boost/asio/any_io_executor.hpp>
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -18,7 +18,6 @@
 constexpr std::uint16_t statusMisdirected = 421;
 constexpr std::uint16_t statusTooManyRequests = 429;
 constexpr std::uint16_t statusFirstServerError = 500;
-constexpr std::uint16_t statusBadGateway = 502;
 constexpr std::uint16_t statusUnavailable = 503;
 
 /// For requests without a deadline on routes without a timeout.
--- a/src/transport/HttpCodec.cpp
+++ b/src/transport/HttpCodec.cpp
@@ -61,7 +61,10 @@
     }
 }
 
-bool methodHasBody(std::string_view method) { return method == "POST" || method == "PUT" || method == "PATCH"; }
+bool methodHasBody(std::string_view method)
+{
+    return method == "POST" || method == "PUT" || method == "PATCH";
+}
 
 } // namespace
 
@@ -203,12 +206,13 @@
 {
     constexpr std::uint16_t noContent = 204;
     constexpr std::uint16_t notModified = 304;
-    std::string text = "HTTP/1.1 " + std::to_string(head.status) + ' ' + std::string(reasonPhrase(head.status))
-        + "\r\n";
+    std::string text
+        = "HTTP/1.1 " + std::to_string(head.status) + ' ' + std::string(reasonPhrase(head.status)) + "\r\n";
     appendFields(text, head.fields);
     const bool mayHaveBody = head.status >= 200 && head.status != noContent && head.status != notModified;
     if (mayHaveBody && (!toHead || head.bodyLength.value_or(0) > 0))
-        text += "Content-Length: " + std::to_string(toHead ? head.bodyLength.value_or(0) : body.size()) + "\r\n";
+        text += "Content-Length: " + std::to_string(toHead ? head.bodyLength.value_or(0) : body.size())
+            + "\r\n";
     if (!head.keepAlive)
         text += "Connection: close\r\n";
     text += "\r\n";
--- a/src/transport/Metrics.cpp
+++ b/src/transport/Metrics.cpp
@@ -40,8 +40,8 @@
 
 MetricFamily turnedAway(const Account& account)
 {
-    MetricFamily family
-        = makeMetricFamily("ebony_turned_away_total", "Requests refused before admission.", MetricType::Counter);
+    MetricFamily family = makeMetricFamily(
+        "ebony_turned_away_total", "Requests refused before admission.", MetricType::Counter);
     for (const auto& [code, count] : account.turnedAway())
         addCounter(family, { { "result", std::string(describe(code).name) } }, count);
     return family;
@@ -58,7 +58,8 @@
         makeGauge("ebony_upstream_in_flight", "Requests at the upstream.", status.inFlight),
         makeGauge("ebony_upstream_queued", "Requests that wait for the upstream.", status.queued),
         makeGauge("ebony_upstream_limit", "Requests that may be at the upstream.", status.limit),
-        makeGauge("ebony_shed_below", "Worth below which requests are refused.", status.level.shedBelow.level),
+        makeGauge(
+            "ebony_shed_below", "Worth below which requests are refused.", status.level.shedBelow.level),
         makeGauge("ebony_ready", "1 when the node serves.", status.ready ? 1 : 0),
         makeGauge("ebony_leaving", "1 when the node takes no new work.", status.leaving ? 1 : 0),
         makeGauge("ebony_config_version", "Version of the configuration in force.",
--- a/src/transport/PeerLinks.cpp
+++ b/src/transport/PeerLinks.cpp
@@ -81,8 +81,8 @@
     };
     using AcceptedPtr = std::shared_ptr<Accepted>;
 
-    Internals(boost::asio::io_context& context, DecisionLog& decisions, PeerEvents& sink,
-        LinkHello hello, std::uint16_t peerPort)
+    Internals(boost::asio::io_context& context, DecisionLog& decisions, PeerEvents& sink, LinkHello hello,
+        std::uint16_t peerPort)
         : io(context)
         , log(decisions)
         , events(sink)
@@ -299,8 +299,8 @@
     std::set<AcceptedPtr> accepted;
 };
 
-PeerLinks::PeerLinks(boost::asio::io_context& io, DecisionLog& log, PeerEvents& events,
-    const LinkHello& own, std::uint16_t port)
+PeerLinks::PeerLinks(boost::asio::io_context& io, DecisionLog& log, PeerEvents& events, const LinkHello& own,
+    std::uint16_t port)
     : m_internals(std::make_shared<Internals>(io, log, events, own, port))
 {
 }
--- a/src/transport/PeerLinks.h
+++ b/src/transport/PeerLinks.h
@@ -53,8 +53,7 @@
 class PeerLinks {
 public:
     /// All nodes listen on `port`. What it refers to outlives the links.
-    PeerLinks(boost::asio::io_context&, DecisionLog&, PeerEvents&, const LinkHello& own,
-        std::uint16_t port);
+    PeerLinks(boost::asio::io_context&, DecisionLog&, PeerEvents&, const LinkHello& own, std::uint16_t port);
     ~PeerLinks();
 
     /// Takes a connection that another node has opened.
--- a/src/transport/RequestCheck.h
+++ b/src/transport/RequestCheck.h
@@ -2,8 +2,8 @@
 // refused.
 #pragma once
 
-#include "protocol/Refusal.h"
 #include "protocol/HttpMessage.h"
+#include "protocol/Refusal.h"
 
 #include <optional>
 
--- a/src/transport/ServerConnection.h
+++ b/src/transport/ServerConnection.h
@@ -1,10 +1,10 @@
 // The server's side of one HTTP/1.1 connection: reads requests, writes answers, one exchange at a time.
 #pragma once
 
+#include "protocol/HttpMessage.h"
 #include "protocol/Refusal.h"
 #include "protocol/Settings.h"
 #include "transport/Awaitable.h"
-#include "protocol/HttpMessage.h"
 #include "transport/PeerSecurity.h"
 
 #include <boost/asio/ip/tcp.hpp>
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -61,49 +61,51 @@
 class Sidecar::Internals : public PeerEvents, public HopPath {
 public:
     Internals(SidecarSettings settings, const PlatformDialect& dialect, Reload read)
-        : state(io, std::move(settings), dialect, drawRandom())
-        , reload(std::move(read))
-        , self { state.settings.vm, drawRandom() | 1 }
-        , mirror([this](const StoreItem& item) { onItem(item); })
-        , store(io, state.timers, dialect, mirror, state.log, state.settings.storeAddress, drawRandom())
-        , links(io, state.log, *this, { self.vm, self.incarnation }, state.settings.peerPort)
-        , hop(state,
+        : m_state(m_io, std::move(settings), dialect, drawRandom())
+        , m_reload(std::move(read))
+        , m_self { m_state.settings.vm, drawRandom() | 1 }
+        , m_mirror([this](const StoreItem& item) { onItem(item); })
+        , m_store(m_io, m_state.timers, dialect, m_mirror, m_state.log, m_state.settings.storeAddress,
+              drawRandom())
+        , m_links(m_io, m_state.log, *this, { m_self.vm, m_self.incarnation }, m_state.settings.peerPort)
+        , m_hop(m_state,
               [this](
                   const HopOrigin& origin, HopAnswer answer) { return replyTo(origin, std::move(answer)); })
-        , entry(state, *this, drawRandom())
-        , callers(state, entry)
-        , planBuckets(1)
-        , tick(io)
-        , signals(io, SIGTERM, SIGINT)
-        , reloadSignal(io, SIGHUP)
-        , callerAcceptor(
-              io, state.settings.callerAddress, [this](auto socket) { callers.accept(std::move(socket)); })
-        , peerAcceptor(io, portAddress(state.settings, state.settings.peerPort),
-              [this](auto socket) { links.accept(std::move(socket)); })
-        , readiness(io, state.settings.readinessAddress, [this](std::string_view) { return readinessPage(); })
+        , m_entry(m_state, *this, drawRandom())
+        , m_callers(m_state, m_entry)
+        , m_planBuckets(1)
+        , m_tick(m_io)
+        , m_signals(m_io, SIGTERM, SIGINT)
+        , m_reloadSignal(m_io, SIGHUP)
+        , m_callerAcceptor(m_io, m_state.settings.callerAddress,
+              [this](auto socket) { m_callers.accept(std::move(socket)); })
+        , m_peerAcceptor(m_io, portAddress(m_state.settings, m_state.settings.peerPort),
+              [this](auto socket) { m_links.accept(std::move(socket)); })
+        , m_readiness(
+              m_io, m_state.settings.readinessAddress, [this](std::string_view) { return readinessPage(); })
     {
-        if (state.settings.metricsPort > 0)
-            metrics.emplace(io, portAddress(state.settings, state.settings.metricsPort),
+        if (m_state.settings.metricsPort > 0)
+            m_metrics.emplace(m_io, portAddress(m_state.settings, m_state.settings.metricsPort),
                 [this](std::string_view) { return metricsPage(); });
     }
 
     void run()
     {
-        startedAt = monotonicNow();
+        m_startedAt = monotonicNow();
         Log::write(Log::Level::Info, "started",
-            { { "vm", self.vm.text }, { "name", state.settings.name },
-                { "service", state.settings.service.text }, { "incarnation", self.incarnation } });
-        signals.async_wait([this](const ErrorCode& error, int) {
+            { { "vm", m_self.vm.text }, { "name", m_state.settings.name },
+                { "service", m_state.settings.service.text }, { "incarnation", m_self.incarnation } });
+        m_signals.async_wait([this](const ErrorCode& error, int) {
             if (!error)
                 leave();
         });
         awaitReload();
         schedule();
-        store.start(startedAt);
-        lastTick = startedAt;
+        m_store.start(m_startedAt);
+        m_lastTick = m_startedAt;
         nextTick();
-        io.run();
-        Log::write(Log::Level::Info, "stopped", { { "leftOpen", entry.open() + hop.open() } });
+        m_io.run();
+        Log::write(Log::Level::Info, "stopped", { { "leftOpen", m_entry.open() + m_hop.open() } });
     }
 
 private:
@@ -111,16 +113,16 @@
 
     void schedule()
     {
-        const Instant now = startedAt;
-        state.timers.every(now, gatePeriod, [this](Instant at) { hop.tend(at); });
-        state.timers.every(now, linkPeriod, [this](Instant at) { tendLinks(at); });
-        state.timers.every(now, planPeriod, [this](Instant at) {
-            state.choice.observe(self.vm, hop.load(), at);
-            entry.plan(at);
-            callers.tend(at);
+        const Instant now = m_startedAt;
+        m_state.timers.every(now, gatePeriod, [this](Instant at) { m_hop.tend(at); });
+        m_state.timers.every(now, linkPeriod, [this](Instant at) { tendLinks(at); });
+        m_state.timers.every(now, planPeriod, [this](Instant at) {
+            m_state.choice.observe(m_self.vm, m_hop.load(), at);
+            m_entry.plan(at);
+            m_callers.tend(at);
         });
-        state.timers.every(now, slowPeriod, [this](Instant at) {
-            state.costs.fade();
+        m_state.timers.every(now, slowPeriod, [this](Instant at) {
+            m_state.costs.fade();
             logLoad(at);
         });
     }
@@ -128,26 +130,26 @@
     /// One line a second with what the other nodes hear of this one, while it is not idle.
     void logLoad(Instant now)
     {
-        const UpstreamLoad load = hop.load();
-        if (load.gate.running == 0 && entry.open() == 0)
+        const UpstreamLoad load = m_hop.load();
+        if (load.gate.running == 0 && m_entry.open() == 0)
             return;
-        state.log.state("load", now, [&] {
+        m_state.log.state("load", now, [&] {
             return nlohmann::json { { "running", load.gate.running }, { "queued", load.gate.queued },
                 { "limit", load.gate.limit }, { "shedShare", load.shedShare },
                 { "holdMs", toMilliseconds(load.hold) }, { "accepts", load.accepts },
-                { "openCalls", entry.open() }, { "linksUp", links.upCount() },
-                { "storeRevision", mirror.revision() } };
+                { "openCalls", m_entry.open() }, { "linksUp", m_links.upCount() },
+                { "storeRevision", m_mirror.revision() } };
         });
     }
 
     void nextTick()
     {
-        tick.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(tickPeriod));
-        tick.async_wait([this](const ErrorCode& error) {
+        m_tick.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(tickPeriod));
+        m_tick.async_wait([this](const ErrorCode& error) {
             if (error)
                 return;
             onTick();
-            if (!ended)
+            if (!m_ended)
                 nextTick();
         });
     }
@@ -155,36 +157,36 @@
     void onTick()
     {
         const Instant now = monotonicNow();
-        if (now - lastTick > pauseLimit) {
-            pausedAt = now;
-            state.log.state("process stood still", now, [&] {
-                return nlohmann::json { { "forMs", toMilliseconds(now - lastTick) } };
+        if (now - m_lastTick > pauseLimit) {
+            m_pausedAt = now;
+            m_state.log.state("process stood still", now, [&] {
+                return nlohmann::json { { "forMs", toMilliseconds(now - m_lastTick) } };
             });
         }
-        lastTick = now;
-        state.timers.advance(now);
-        if (state.isLeaving())
+        m_lastTick = now;
+        m_state.timers.advance(now);
+        if (m_state.isLeaving())
             endWhenDone(now);
     }
 
     void tendLinks(Instant now)
     {
-        contacts.report(self.vm, !store.isAway(now), now);
-        state.directory.expire(contacts, now);
-        if (std::exchange(directoryChanged, false) || now - peersSetAt > slowPeriod)
+        m_contacts.report(m_self.vm, !m_store.isAway(now), now);
+        m_state.directory.expire(m_contacts, now);
+        if (std::exchange(m_directoryChanged, false) || now - m_peersSetAt > slowPeriod)
             refreshPeers(now);
-        if (!pausedAt || now - *pausedAt > pauseGrace)
-            links.tend(now);
+        if (!m_pausedAt || now - *m_pausedAt > pauseGrace)
+            m_links.tend(now);
     }
 
     void refreshPeers(Instant now)
     {
-        peersSetAt = now;
-        std::vector<VmId> vms = state.directory.vms();
-        state.repeats.setNodes(vms.size());
-        std::erase(vms, self.vm);
-        links.setPeers(vms);
-        hop.refreshUpstream(now);
+        m_peersSetAt = now;
+        std::vector<VmId> vms = m_state.directory.vms();
+        m_state.repeats.setNodes(vms.size());
+        std::erase(vms, m_self.vm);
+        m_links.setPeers(vms);
+        m_hop.refreshUpstream(now);
     }
 
     // What the store publishes.
@@ -194,15 +196,15 @@
         const Instant now = monotonicNow();
         if (!item.value)
             return onRemoval(item, now);
-        const auto read = state.dialect.readItem(item.key, *item.value);
+        const auto read = m_state.dialect.readItem(item.key, *item.value);
         if (!read) {
-            state.log.state("store item not usable", now, [&] {
+            m_state.log.state("store item not usable", now, [&] {
                 return nlohmann::json { { "key", item.key }, { "revision", item.revision },
                     { "reason", read.error() } };
             });
-            if (const auto instance = state.dialect.instanceOfKey(item.key)) {
-                state.directory.remove(*instance, std::nullopt);
-                directoryChanged = true;
+            if (const auto instance = m_state.dialect.instanceOfKey(item.key)) {
+                m_state.directory.remove(*instance, std::nullopt);
+                m_directoryChanged = true;
             }
             return;
         }
@@ -214,20 +216,20 @@
 
     void onRemoval(const StoreItem& item, Instant now)
     {
-        const auto instance = state.dialect.instanceOfKey(item.key);
+        const auto instance = m_state.dialect.instanceOfKey(item.key);
         if (!instance)
             return;
-        const KnownUpstream* upstream = state.directory.find(*instance);
-        const bool lacksContact = upstream && contacts.of(upstream->entry.vm, now) == StoreContact::Lost;
-        const auto returnedAt = store.returnedAt();
+        const KnownUpstream* upstream = m_state.directory.find(*instance);
+        const bool lacksContact = upstream && m_contacts.of(upstream->entry.vm, now) == StoreContact::Lost;
+        const auto returnedAt = m_store.returnedAt();
         const bool storeWasAway = returnedAt && now < *returnedAt + lapsedEntryGrace;
         if (lacksContact)
-            state.directory.removeWithoutContact(*instance);
+            m_state.directory.removeWithoutContact(*instance);
         else
-            state.directory.remove(
+            m_state.directory.remove(
                 *instance, storeWasAway ? std::optional(*returnedAt + lapsedEntryGrace) : std::nullopt);
-        directoryChanged = true;
-        state.log.state("upstream entry removed", now, [&] {
+        m_directoryChanged = true;
+        m_state.log.state("upstream entry removed", now, [&] {
             return nlohmann::json { { "instance", instance->text }, { "revision", item.revision },
                 { "lacksContact", lacksContact }, { "storeWasAway", storeWasAway } };
         });
@@ -235,9 +237,9 @@
 
     void onEntry(const UpstreamEntry& upstream, std::uint64_t revision, Instant now)
     {
-        state.directory.put(upstream, revision, now);
-        directoryChanged = true;
-        state.log.state("upstream entry", now, [&] {
+        m_state.directory.put(upstream, revision, now);
+        m_directoryChanged = true;
+        m_state.log.state("upstream entry", now, [&] {
             return nlohmann::json { { "instance", upstream.instance.text },
                 { "service", upstream.service.text }, { "address", upstream.address },
                 { "draining", upstream.draining }, { "slots", upstream.slots }, { "revision", revision } };
@@ -246,16 +248,16 @@
 
     void onConfig(const ServingConfig& config, std::uint64_t revision, Instant now)
     {
-        if (state.config && config.version < state.config->config().version) {
-            state.log.state("configuration refused", now, [&] {
+        if (m_state.config && config.version < m_state.config->config().version) {
+            m_state.log.state("configuration refused", now, [&] {
                 return nlohmann::json { { "version", config.version },
-                    { "inForce", state.config->config().version },
+                    { "inForce", m_state.config->config().version },
                     { "reason", "older than the one in force" } };
             });
             return;
         }
-        state.config = std::make_shared<const ServingIndex>(config);
-        state.log.state("configuration in force", now, [&] {
+        m_state.config = std::make_shared<const ServingIndex>(config);
+        m_state.log.state("configuration in force", now, [&] {
             return nlohmann::json { { "version", config.version }, { "revision", revision },
                 { "routes", config.routes.size() }, { "teams", config.teams.size() } };
         });
@@ -266,108 +268,108 @@
     LinkBeat ownBeat() const override
     {
         const Instant now = monotonicNow();
-        return { hop.load(), mirror.revision(), !store.isAway(now), toSeconds(now - startedAt) };
+        return { m_hop.load(), m_mirror.revision(), !m_store.isAway(now), toSeconds(now - m_startedAt) };
     }
 
     void onBeat(const VmId& vm, const LinkBeat& beat) override
     {
         const Instant now = monotonicNow();
-        state.choice.observe(vm, beat.load, now);
-        contacts.report(vm, beat.reachesStore, now);
-        if (beat.storeRevision <= mirror.revision())
+        m_state.choice.observe(vm, beat.load, now);
+        m_contacts.report(vm, beat.reachesStore, now);
+        if (beat.storeRevision <= m_mirror.revision())
             return;
-        if (now - askedAt > linkPeriod && links.send(vm, StoreAsk { mirror.revision() }))
-            askedAt = now;
+        if (now - m_askedAt > linkPeriod && m_links.send(vm, StoreAsk { m_mirror.revision() }))
+            m_askedAt = now;
     }
 
-    void onLinkUp(const VmId& vm, bool sameProcess) override { entry.onLinkUp(vm, sameProcess); }
-    void onLinkDown(const VmId& vm) override { entry.onLinkDown(vm); }
-    void onAnswer(const VmId& vm, HopAnswer answer) override { entry.onAnswer(vm, std::move(answer)); }
+    void onLinkUp(const VmId& vm, bool sameProcess) override { m_entry.onLinkUp(vm, sameProcess); }
+    void onLinkDown(const VmId& vm) override { m_entry.onLinkDown(vm); }
+    void onAnswer(const VmId& vm, HopAnswer answer) override { m_entry.onAnswer(vm, std::move(answer)); }
 
     void onStoreShare(const StoreShare& share) override
     {
         const Instant now = monotonicNow();
-        if (share.revision <= mirror.revision())
+        if (share.revision <= m_mirror.revision())
             return;
-        state.log.state("store changes from a peer", now, [&] {
-            return nlohmann::json { { "revision", share.revision }, { "had", mirror.revision() },
+        m_state.log.state("store changes from a peer", now, [&] {
+            return nlohmann::json { { "revision", share.revision }, { "had", m_mirror.revision() },
                 { "items", share.items.size() } };
         });
         for (const StoreItem& item : share.items)
-            mirror.apply(item);
-        mirror.completeUpTo(share.revision);
-        const auto heardAt = store.heardAt();
+            m_mirror.apply(item);
+        m_mirror.completeUpTo(share.revision);
+        const auto heardAt = m_store.heardAt();
         if (heardAt && now - *heardAt > suspicionTime)
-            store.suspect(now);
+            m_store.suspect(now);
     }
 
-    void onTokenAnswer(const TokenAnswer& answer) override { entry.onTokens(answer); }
+    void onTokenAnswer(const TokenAnswer& answer) override { m_entry.onTokens(answer); }
 
     void onRequest(const HopOrigin& origin, HopRequest request) override
     {
-        hop.request(origin, std::move(request));
+        m_hop.request(origin, std::move(request));
     }
-    void onCancel(const HopOrigin& origin, std::uint64_t number) override { hop.cancel(origin, number); }
+    void onCancel(const HopOrigin& origin, std::uint64_t number) override { m_hop.cancel(origin, number); }
     void onResume(const HopOrigin& origin, const std::vector<std::uint64_t>& numbers) override
     {
-        hop.resume(origin, numbers);
+        m_hop.resume(origin, numbers);
     }
-    void onOriginLost(const HopOrigin& origin, bool forGood) override { hop.originLost(origin, forGood); }
+    void onOriginLost(const HopOrigin& origin, bool forGood) override { m_hop.originLost(origin, forGood); }
 
     StoreShare storeShare(std::uint64_t since) const override
     {
-        return { mirror.revision(), mirror.changesSince(since) };
+        return { m_mirror.revision(), m_mirror.changesSince(since) };
     }
 
     TokenAnswer grantTokens(const TokenAsk& ask) override
     {
-        const ServedTeam* team = state.config ? state.config->findTeam(ask.team) : nullptr;
+        const ServedTeam* team = m_state.config ? m_state.config->findTeam(ask.team) : nullptr;
         if (!team)
             return { ask.number, 0, leaveTime };
-        const TokenGrant grant = planBuckets.take(ask.team, team->plan, ask.wanted, monotonicNow());
+        const TokenGrant grant = m_planBuckets.take(ask.team, team->plan, ask.wanted, monotonicNow());
         return { ask.number, grant.tokens, grant.retryAfter };
     }
 
     // HopPath.
 
-    bool canReach(const VmId& vm) const override { return vm == self.vm || links.isUp(vm); }
+    bool canReach(const VmId& vm) const override { return vm == m_self.vm || m_links.isUp(vm); }
 
     bool sendRequest(const VmId& vm, HopRequest request) override
     {
-        if (vm == self.vm) {
-            hop.request(self, std::move(request));
+        if (vm == m_self.vm) {
+            m_hop.request(m_self, std::move(request));
             return true;
         }
-        return links.send(vm, std::move(request));
+        return m_links.send(vm, std::move(request));
     }
 
     void sendCancel(const VmId& vm, std::uint64_t number) override
     {
-        if (vm == self.vm)
-            hop.cancel(self, number);
+        if (vm == m_self.vm)
+            m_hop.cancel(m_self, number);
         else
-            links.send(vm, HopCancel { number });
+            m_links.send(vm, HopCancel { number });
     }
 
     void sendResume(const VmId& vm, const std::vector<std::uint64_t>& numbers) override
     {
-        links.send(vm, HopResume { numbers });
+        m_links.send(vm, HopResume { numbers });
     }
 
     bool askTokens(const VmId& home, const TokenAsk& ask) override
     {
-        if (home != self.vm)
-            return links.send(home, ask);
+        if (home != m_self.vm)
+            return m_links.send(home, ask);
         const TokenAnswer answer = grantTokens(ask);
-        entry.onTokens(answer);
+        m_entry.onTokens(answer);
         return true;
     }
 
     bool replyTo(const HopOrigin& origin, HopAnswer answer)
     {
-        if (origin != self)
-            return links.reply(origin, std::move(answer));
-        entry.onAnswer(self.vm, std::move(answer));
+        if (origin != m_self)
+            return m_links.reply(origin, std::move(answer));
+        m_entry.onAnswer(m_self.vm, std::move(answer));
         return true;
     }
 
@@ -375,22 +377,22 @@
 
     StatusPage readinessPage() const
     {
-        const bool ready = state.config && !state.isLeaving() && state.directory.size() > 0;
+        const bool ready = m_state.config && !m_state.isLeaving() && m_state.directory.size() > 0;
         return { static_cast<std::uint16_t>(ready ? 200 : 503), "text/plain",
             ready ? "ready\n" : "not ready\n" };
     }
 
     StatusPage metricsPage() const
     {
-        const SidecarFigures figures { hop.load(), callers.connections(), hop.connections(),
-            hop.connectionsOpened(), links.upCount(), store.calls(), entry.open(), hop.open(),
-            mirror.revision() };
-        return { 200, "text/plain; version=0.0.4", writeSidecarMetrics(state, figures) };
+        const SidecarFigures figures { m_hop.load(), m_callers.connections(), m_hop.connections(),
+            m_hop.connectionsOpened(), m_links.upCount(), m_store.calls(), m_entry.open(), m_hop.open(),
+            m_mirror.revision() };
+        return { 200, "text/plain; version=0.0.4", writeSidecarMetrics(m_state, figures) };
     }
 
     void awaitReload()
     {
-        reloadSignal.async_wait([this](const ErrorCode& error, int) {
+        m_reloadSignal.async_wait([this](const ErrorCode& error, int) {
             if (error)
                 return;
             applySettings();
@@ -400,71 +402,71 @@
 
     void applySettings()
     {
-        const auto settings = reload();
+        const auto settings = m_reload();
         if (!settings) {
             Log::write(Log::Level::Error, "settings not usable", { { "inForce", "the ones before" } });
             return;
         }
-        state.settings.upstreamAddress = settings->upstreamAddress;
-        state.settings.storeAddress = settings->storeAddress;
-        state.settings.grace = settings->grace;
-        state.settings.drain = settings->drain;
-        store.setAddress(settings->storeAddress);
+        m_state.settings.upstreamAddress = settings->upstreamAddress;
+        m_state.settings.storeAddress = settings->storeAddress;
+        m_state.settings.grace = settings->grace;
+        m_state.settings.drain = settings->drain;
+        m_store.setAddress(settings->storeAddress);
         if (const auto level = Log::parseLevel(settings->logLevel))
             Log::setLevel(*level);
-        directoryChanged = true;
+        m_directoryChanged = true;
         Log::write(
             Log::Level::Info, "settings reloaded", { { "upstreamAddress", settings->upstreamAddress } });
     }
 
     void leave()
     {
-        if (state.isLeaving())
+        if (m_state.isLeaving())
             return;
-        leavingSince = monotonicNow();
-        state.endsAt = leavingSince + std::max(leaveTime, state.settings.grace - graceMargin);
+        m_leavingSince = monotonicNow();
+        m_state.endsAt = m_leavingSince + std::max(leaveTime, m_state.settings.grace - graceMargin);
         Log::write(
-            Log::Level::Info, "leaving", { { "openCalls", entry.open() }, { "openHops", hop.open() } });
-        links.beatNow(leavingSince);
+            Log::Level::Info, "leaving", { { "openCalls", m_entry.open() }, { "openHops", m_hop.open() } });
+        m_links.beatNow(m_leavingSince);
     }
 
     void endWhenDone(Instant now)
     {
-        const bool quiet = entry.open() == 0 && hop.open() == 0 && callers.busy() == 0;
-        if (now > *state.endsAt || (now - leavingSince > leaveTime && quiet)) {
-            ended = true;
-            callers.closeIdle();
-            io.stop();
+        const bool quiet = m_entry.open() == 0 && m_hop.open() == 0 && m_callers.busy() == 0;
+        if (now > *m_state.endsAt || (now - m_leavingSince > leaveTime && quiet)) {
+            m_ended = true;
+            m_callers.closeIdle();
+            m_io.stop();
         }
     }
 
-    boost::asio::io_context io { 1 };
-    SidecarState state;
-    Reload reload;
-    const HopOrigin self;
-    StoreMirror mirror;
-    StoreContacts contacts;
-    StoreReader store;
-    PeerLinks links;
-    HopService hop;
-    EntryService entry;
-    CallerServer callers;
-    PlanBuckets planBuckets; // of the teams whose home this VM is
-    boost::asio::steady_timer tick;
-    boost::asio::signal_set signals;
-    boost::asio::signal_set reloadSignal;
-    StreamAcceptor callerAcceptor;
-    StreamAcceptor peerAcceptor;
-    StatusServer readiness;
-    std::optional<StatusServer> metrics;
-    Instant startedAt;
-    Instant lastTick;
-    Instant peersSetAt;
-    Instant askedAt; // when a peer was asked for store changes last
-    Instant leavingSince; // set while the node is leaving
-    std::optional<Instant> pausedAt;
-    bool directoryChanged { false };
-    bool ended { false };
+    boost::asio::io_context m_io { 1 };
+    SidecarState m_state;
+    Reload m_reload;
+    const HopOrigin m_self;
+    StoreMirror m_mirror;
+    StoreContacts m_contacts;
+    StoreReader m_store;
+    PeerLinks m_links;
+    HopService m_hop;
+    EntryService m_entry;
+    CallerServer m_callers;
+    PlanBuckets m_planBuckets; // of the teams whose home this VM is
+    boost::asio::steady_timer m_tick;
+    boost::asio::signal_set m_signals;
+    boost::asio::signal_set m_reloadSignal;
+    StreamAcceptor m_callerAcceptor;
+    StreamAcceptor m_peerAcceptor;
+    StatusServer m_readiness;
+    std::optional<StatusServer> m_metrics;
+    Instant m_startedAt;
+    Instant m_lastTick;
+    Instant m_peersSetAt;
+    Instant m_askedAt; // when a peer was asked for store changes last
+    Instant m_leavingSince; // set while the node is leaving
+    std::optional<Instant> m_pausedAt;
+    bool m_directoryChanged { false };
+    bool m_ended { false };
 };
 
 Sidecar::Sidecar(SidecarSettings settings, const PlatformDialect& dialect, Reload reload)
--- a/src/transport/SidecarMetrics.cpp
+++ b/src/transport/SidecarMetrics.cpp
@@ -19,33 +19,48 @@
     for (const auto& [key, count] : counters.callerAnswers)
         addCounter(answers, { { "route", key.first }, { "status", key.second } }, count);
     families.push_back(std::move(answers));
-    MetricFamily refusals
-        = makeMetricFamily("ebony_refusals_total", "Answers of the node's own, by result code.", MetricType::Counter);
+    MetricFamily refusals = makeMetricFamily(
+        "ebony_refusals_total", "Answers of the node's own, by result code.", MetricType::Counter);
     for (const auto& [name, count] : counters.refusals)
         addCounter(refusals, { { "code", name } }, count);
     families.push_back(std::move(refusals));
-    MetricFamily hops = makeMetricFamily(
-        "ebony_upstream_requests_total", "Requests for the upstream beside this node, by outcome.", MetricType::Counter);
+    MetricFamily hops = makeMetricFamily("ebony_upstream_requests_total",
+        "Requests for the upstream beside this node, by outcome.", MetricType::Counter);
     for (const auto& [outcome, count] : counters.hopAnswers)
         addCounter(hops, { { "outcome", outcome } }, count);
     families.push_back(std::move(hops));
-    families.push_back(makeCounter("ebony_repeats_total", "Requests sent to a second upstream.", counters.repeats));
-    families.push_back(makeCounter("ebony_cancelled_total", "Requests whose caller left.", counters.cancelled));
-    families.push_back(makeCounter("ebony_token_asks_total", "Requests for tokens of plans.", counters.tokensAsked));
-    families.push_back(makeCounter("ebony_store_calls_total", "Calls to the platform's store.", figures.storeCalls));
-    families.push_back(makeCounter("ebony_upstream_connections_opened_total", "Connections opened to the upstream.",
-        figures.upstreamConnectionsOpened));
-    families.push_back(makeGauge("ebony_gate_running", "Requests that run at the upstream.", figures.load.gate.running));
-    families.push_back(makeGauge("ebony_gate_queued", "Requests that wait for the upstream.", figures.load.gate.queued));
-    families.push_back(makeGauge("ebony_gate_limit", "Requests that may run at once.", figures.load.gate.limit));
-    families.push_back(makeGauge("ebony_shed_share", "Share of the demand to refuse.", figures.load.shedShare));
-    families.push_back(makeGauge("ebony_hold_seconds", "Mean time for which a slot is held.", toSeconds(figures.load.hold)));
-    families.push_back(makeGauge("ebony_caller_connections", "Connections of callers.", static_cast<double>(figures.callerConnections)));
-    families.push_back(makeGauge("ebony_upstream_connections", "Connections to the upstream.", static_cast<double>(figures.upstreamConnections)));
-    families.push_back(makeGauge("ebony_links_up", "Links to other nodes that work.", static_cast<double>(figures.linksUp)));
-    families.push_back(makeGauge("ebony_open_calls", "Requests of callers under way.", static_cast<double>(figures.openCalls)));
-    families.push_back(makeGauge("ebony_open_hops", "Requests for the upstream under way.", static_cast<double>(figures.openHops)));
-    families.push_back(makeGauge("ebony_store_revision", "Changes of the store known up to.", static_cast<double>(figures.storeRevision)));
+    families.push_back(
+        makeCounter("ebony_repeats_total", "Requests sent to a second upstream.", counters.repeats));
+    families.push_back(
+        makeCounter("ebony_cancelled_total", "Requests whose caller left.", counters.cancelled));
+    families.push_back(
+        makeCounter("ebony_token_asks_total", "Requests for tokens of plans.", counters.tokensAsked));
+    families.push_back(
+        makeCounter("ebony_store_calls_total", "Calls to the platform's store.", figures.storeCalls));
+    families.push_back(makeCounter("ebony_upstream_connections_opened_total",
+        "Connections opened to the upstream.", figures.upstreamConnectionsOpened));
+    families.push_back(
+        makeGauge("ebony_gate_running", "Requests that run at the upstream.", figures.load.gate.running));
+    families.push_back(
+        makeGauge("ebony_gate_queued", "Requests that wait for the upstream.", figures.load.gate.queued));
+    families.push_back(
+        makeGauge("ebony_gate_limit", "Requests that may run at once.", figures.load.gate.limit));
+    families.push_back(
+        makeGauge("ebony_shed_share", "Share of the demand to refuse.", figures.load.shedShare));
+    families.push_back(
+        makeGauge("ebony_hold_seconds", "Mean time for which a slot is held.", toSeconds(figures.load.hold)));
+    families.push_back(makeGauge("ebony_caller_connections", "Connections of callers.",
+        static_cast<double>(figures.callerConnections)));
+    families.push_back(makeGauge("ebony_upstream_connections", "Connections to the upstream.",
+        static_cast<double>(figures.upstreamConnections)));
+    families.push_back(
+        makeGauge("ebony_links_up", "Links to other nodes that work.", static_cast<double>(figures.linksUp)));
+    families.push_back(makeGauge(
+        "ebony_open_calls", "Requests of callers under way.", static_cast<double>(figures.openCalls)));
+    families.push_back(makeGauge(
+        "ebony_open_hops", "Requests for the upstream under way.", static_cast<double>(figures.openHops)));
+    families.push_back(makeGauge("ebony_store_revision", "Changes of the store known up to.",
+        static_cast<double>(figures.storeRevision)));
     families.push_back(makeGauge("ebony_config_version", "Version of the configuration in force.",
         state.config ? static_cast<double>(state.config->config().version) : 0));
     return prometheus::TextSerializer().Serialize(families);
--- a/src/transport/StatusServer.cpp
+++ b/src/transport/StatusServer.cpp
@@ -79,11 +79,11 @@
 StatusServer::StatusServer(boost::asio::io_context& io, const std::string& address, MakePage makePage)
     : m_internals(std::make_shared<Internals>(std::move(makePage)))
 {
-    m_internals->acceptor
-        = std::make_unique<StreamAcceptor>(io, address, [weak = std::weak_ptr<Internals>(m_internals)](auto socket) {
-              if (const auto self = weak.lock())
-                  self->accept(std::move(socket));
-          });
+    m_internals->acceptor = std::make_unique<StreamAcceptor>(
+        io, address, [weak = std::weak_ptr<Internals>(m_internals)](auto socket) {
+            if (const auto self = weak.lock())
+                self->accept(std::move(socket));
+        });
 }
 
 StatusServer::~StatusServer() = default;
--- a/src/transport/StreamAcceptor.cpp
+++ b/src/transport/StreamAcceptor.cpp
@@ -41,7 +41,8 @@
             acceptor.bind(endpoint, error);
         if (!error)
             acceptor.listen(backlog, error);
-        userCheck(!error, "Can't listen on " + text + ": " + error.message() + ". Give a free address of this VM.");
+        userCheck(
+            !error, "Can't listen on " + text + ": " + error.message() + ". Give a free address of this VM.");
     }
 
     void next()
--- a/src/transport/UpstreamPool.cpp
+++ b/src/transport/UpstreamPool.cpp
@@ -210,7 +210,7 @@
     {
         const Instant now = monotonicNow();
         while (!idle.empty()) {
-            const ConnectionPtr connection = idle.back();
+            ConnectionPtr connection = idle.back();
             const Duration idleFor = now - connection->idleSince;
             if (!repeatable && idleFor > longestIdleForOrders)
                 return nullptr;
--- a/src/transport/UpstreamPool.h
+++ b/src/transport/UpstreamPool.h
@@ -48,7 +48,8 @@
     using Done = std::function<void(UpstreamResult)>;
 
     /// `fields` outlives the pool. Bodies above `bodyBytes` are taken as invalid.
-    UpstreamPool(boost::asio::io_context&, std::string address, const FieldNames& fields, std::uint64_t bodyBytes);
+    UpstreamPool(
+        boost::asio::io_context&, std::string address, const FieldNames& fields, std::uint64_t bodyBytes);
     ~UpstreamPool();
 
     /// Sends a request; `done` is called once, unless the exchange is aborted before.
--- a/test/correctness/ChoiceFollowsTheLoad.cpp
+++ b/test/correctness/ChoiceFollowsTheLoad.cpp
@@ -27,6 +27,7 @@
 std::map<VmId, double> shares(UpstreamChoice& choice, const std::vector<KnownUpstream>& upstreams)
 {
     std::vector<const KnownUpstream*> candidates;
+    candidates.reserve(upstreams.size());
     for (const KnownUpstream& upstream : upstreams)
         candidates.push_back(&upstream);
     std::map<VmId, double> shares;
--- a/test/correctness/DirectoryFollowsTheEntries.cpp
+++ b/test/correctness/DirectoryFollowsTheEntries.cpp
@@ -12,7 +12,7 @@
 const StoreContacts noContacts;
 const ServiceName registry { "registry" };
 
-UpstreamEntry makeEntry(std::string instance, std::string address, bool draining = false)
+UpstreamEntry makeEntry(std::string instance, const std::string& address, bool draining = false)
 {
     const std::string vm = address.substr(0, address.rfind(':'));
     return { { std::move(instance) }, registry, { "a" }, address, { vm }, 8, draining, Duration::zero() };
--- a/test/correctness/GateKeepsSlotsBusy.cpp
+++ b/test/correctness/GateKeepsSlotsBusy.cpp
@@ -50,6 +50,7 @@
     gate.arrive(makeRequest(7, -1), start);
     gate.arrive(makeRequest(8, 1), start);
     std::vector<GateTicket> order;
+    order.reserve(4);
     for (int i = 0; i < 4; ++i)
         order.push_back(gate.depart(10ms, start).at(0));
     CHECK(order == std::vector<GateTicket> { 7, 6, 8, 5 });
--- a/test/correctness/HopTellsWhatRan.cpp
+++ b/test/correctness/HopTellsWhatRan.cpp
@@ -111,7 +111,7 @@
 {
     std::string late;
     HopBench bench([&](const HttpRequest& request) {
-        const ScriptedAnswer answer { late + sealedAnswer(request) };
+        ScriptedAnswer answer { late + sealedAnswer(request) };
         late = sealedAnswer(request, "late");
         return answer;
     });
--- a/test/support/SidecarStandIns.h
+++ b/test/support/SidecarStandIns.h
@@ -75,7 +75,7 @@
     bool homeReachable { true };
 };
 
-inline ServingRoute makeRoute(std::string name, std::string service, bool repeatable)
+inline ServingRoute makeRoute(const std::string& name, std::string service, bool repeatable)
 {
     ServingRoute route;
     route.id = { name };
