--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -68,7 +68,7 @@
 
     UpstreamLoad load(Instant now) const
     {
-        const bool accepts = !state.isLeaving() && now >= downUntil;
+        const bool accepts = state.servesOthers() && now >= downUntil;
         return { gate.state(), pressure.shedShare(), gate.meanHold(), accepts };
     }
 
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -38,10 +38,10 @@
 constexpr Duration pauseLimit = 400ms;
 /// How long after a pause links are not judged by their silence.
 constexpr Duration pauseGrace = 500ms;
-/// Time in which the platform and the other nodes learn that this node is leaving; it serves on meanwhile.
+/// Time in which the platform learns that this node is leaving; it serves on meanwhile.
 constexpr Duration leaveTime = 2500ms;
 /// Kept of the grace for the end of the process.
-constexpr Duration graceMargin = 600ms;
+constexpr Duration graceMargin = 800ms;
 /// A peer that holds newer changes for this long shows that this node's watch is dead.
 constexpr Duration suspicionTime = 700ms;
 
@@ -427,7 +427,7 @@
         m_state.endsAt = m_leavingSince + std::max(leaveTime, m_state.settings.grace - graceMargin);
         Log::write(
             Log::Level::Info, "leaving", { { "openCalls", m_entry.open() }, { "openHops", m_hop.open() } });
-        m_links.beatNow(m_leavingSince);
+        m_state.timers.at(*m_state.endsAt - closingTime, [this](Instant now) { m_links.beatNow(now); });
     }
 
     void endWhenDone(Instant now)
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -33,6 +33,9 @@
     std::uint64_t tokensAsked { 0 };
 };
 
+/// Before the end of a leaving node: other nodes stop sending, and what runs ends.
+constexpr Duration closingTime = std::chrono::milliseconds(1200);
+
 struct SidecarState {
     SidecarState(boost::asio::io_context& context, SidecarSettings given, const PlatformDialect& platform,
         std::uint64_t seed)
@@ -61,6 +64,9 @@
     std::optional<Instant> endsAt; ///< set while the node is leaving: no request is open after that
 
     bool isLeaving() const { return endsAt.has_value(); }
+    /// Whether other nodes may send requests for the upstream: a leaving node serves on until shortly before
+    /// its end, since each one that stops serving takes its upstream's slots with it.
+    bool servesOthers() const { return !endsAt || now() < *endsAt - closingTime; }
     /// Whether a request that may last until `deadline` can be taken: it ends before the node does.
     bool canFinish(Instant deadline) const { return !endsAt || deadline <= *endsAt; }
     SidecarCounters counters;
--- a/test/correctness/HopTellsWhatRan.cpp
+++ b/test/correctness/HopTellsWhatRan.cpp
@@ -179,3 +179,18 @@
     CHECK(bench.answers[0].outcome == HopOutcome::NotRun);
     CHECK(bench.answers[0].reason == HopReason::UpstreamDraining);
 }
+
+TEST_CASE(
+    "a leaving node serves others until shortly before its end, and takes nothing that would outlast it")
+{
+    HopBench bench(sound);
+    bench.state.endsAt = bench.state.now() + std::chrono::seconds(5);
+    CHECK(bench.hop.load().accepts);
+    bench.ask(1, true);
+    CHECK(bench.answers.at(0).outcome == HopOutcome::Answered);
+    bench.state.endsAt = bench.state.now() + closingTime / 2;
+    CHECK_FALSE(bench.hop.load().accepts);
+    bench.ask(2, true); // it has two seconds left
+    CHECK(bench.answers.at(1).outcome == HopOutcome::NotRun);
+    CHECK(bench.answers.at(1).reason == HopReason::NodeLeaving);
+}
