Take turns at the store, and spend a little more on repeats

Nodes now pause longer between watches the more of them are linked; the first to hear tells the others with its beats.

--- a/src/coordination/RepeatBudget.cpp
+++ b/src/coordination/RepeatBudget.cpp
@@ -8,7 +8,7 @@
 
 /// The part of the operator's ratio that one level of a call tree may spend: a repeated request repeats all
 /// calls below it, so the levels add up at the deepest service.
-constexpr double levelShare = 0.18;
+constexpr double levelShare = 0.22;
 /// The part of the extra repeats that nodes hand out: the rest covers requests that upstreams count and
 /// nodes don't, and windows that two fillings fall into.
 constexpr double extraUse = 0.4;
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -187,6 +187,7 @@
         std::erase(vms, m_self.vm);
         m_links.setPeers(vms);
         m_hop.refreshUpstream(now);
+        m_store.setNodes(m_links.upCount());
     }
 
     // What the store publishes.
--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -28,8 +28,12 @@
 constexpr Duration lapsingOutage = 2s;
 /// A watch that was cut is back within this time.
 constexpr Duration hiccup = 600ms;
-/// Pause before the next watch, so that changes in quick succession come with one call.
-constexpr Duration gatherTime = 250ms;
+/// Pause before the next watch, so that changes in quick succession come with one call: for each linked node,
+/// and its bounds. Among many nodes one hears of a change within a fraction of a second, and its beat tells
+/// the others.
+constexpr Duration gatherTimePerNode = 60ms;
+constexpr Duration leastGatherTime = 250ms;
+constexpr Duration mostGatherTime = 3s;
 /// A suspected watch is renewed at most once in this time.
 constexpr Duration suspicionInterval = 2s;
 constexpr std::uint64_t longestBody = 16U << 20;
@@ -193,7 +197,7 @@
             returnedAt = heardAt;
         failingSince.reset();
         if (follower->watching)
-            after(follower, gatherTime, &Internals::ask);
+            after(follower, fromSeconds(toSeconds(gatherTime) * (0.5 + random.unit() / 2)), &Internals::ask);
         else
             ask(follower);
     }
@@ -284,6 +288,7 @@
     std::optional<Instant> returnedAt;
     std::optional<Instant> heardAt;
     std::optional<Instant> suspectedAt;
+    Duration gatherTime { leastGatherTime };
     std::uint64_t calls { 0 };
 };
 
@@ -324,6 +329,12 @@
     return m_internals->failingSince && now - *m_internals->failingSince > hiccup;
 }
 
+void StoreReader::setNodes(std::size_t linked)
+{
+    m_internals->gatherTime
+        = std::clamp(gatherTimePerNode * static_cast<Duration::rep>(linked), leastGatherTime, mostGatherTime);
+}
+
 std::optional<Instant> StoreReader::returnedAt() const { return m_internals->returnedAt; }
 
 std::optional<Instant> StoreReader::heardAt() const { return m_internals->heardAt; }
--- a/src/transport/StoreReader.h
+++ b/src/transport/StoreReader.h
@@ -27,6 +27,9 @@
     /// A peer holds changes that this reader has not been told of: its connections may be dead.
     void suspect(Instant now);
     void setAddress(std::string address);
+    /// How many nodes hear of each other's news. They take turns: the more there are, the longer each pauses
+    /// between its watches, and the calls to the store stay about the same for the whole fleet.
+    void setNodes(std::size_t linked);
 
     /// The end of the last outage that was long enough for entries to lapse; nothing before the first.
     std::optional<Instant> returnedAt() const;
