--- a/apps/ebony-sidecar/main.cpp
+++ b/apps/ebony-sidecar/main.cpp
@@ -69,10 +69,11 @@
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage("Runs one node beside one upstream VM of the users' platform.\n\n"
-                            "    ebony-sidecar --config settings.json\n\n"
-                            "Exit codes: 0 stopped as asked, 1 internal fault, 2 wrong arguments or settings, "
-                            "3 an address can't be listened on.");
+    gflags::SetUsageMessage(
+        "Runs one node beside one upstream VM of the users' platform.\n\n"
+        "    ebony-sidecar --config settings.json\n\n"
+        "Exit codes: 0 stopped as asked, 1 internal fault, 2 wrong arguments or settings, "
+        "3 an address can't be listened on.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     try {
         return run();
--- a/src/coordination/PlanBuckets.cpp
+++ b/src/coordination/PlanBuckets.cpp
@@ -30,7 +30,8 @@
         return { wanted, Duration::zero() };
     const double rate = plan.ratePerSecond * m_share;
     const double burst = std::max(plan.burst * m_share, 1.0);
-    const auto [found, isNew] = m_buckets.try_emplace(team, Bucket { std::max(burst * initialFill, 1.0), now });
+    const auto [found, isNew]
+        = m_buckets.try_emplace(team, Bucket { std::max(burst * initialFill, 1.0), now });
     Bucket& bucket = found->second;
     bucket.tokens = std::min(burst, bucket.tokens + rate * toSeconds(now - bucket.filledAt));
     bucket.filledAt = now;
@@ -49,7 +50,8 @@
     const double weight = 1 - std::exp(-elapsed / rateSmoothing);
     held.perSecond += (1 / elapsed - held.perSecond) * weight;
     held.countedAt = now;
-    while (!held.granted.empty() && (held.granted.front().expiresAt <= now || held.granted.front().tokens == 0))
+    while (
+        !held.granted.empty() && (held.granted.front().expiresAt <= now || held.granted.front().tokens == 0))
         held.granted.pop_front();
     if (held.granted.empty())
         return false;
--- a/src/coordination/PlanBuckets.h
+++ b/src/coordination/PlanBuckets.h
@@ -1,6 +1,6 @@
-// The token buckets of team plans. Each team has one home VM, found by rendezvous hashing over the VMs with an
-// entry; entries ask it for tokens. A home that starts keeps a fresh, partly filled bucket, and an entry that
-// can't reach the home falls back on its own small share of the plan.
+// The token buckets of team plans. Each team has one home VM, found by rendezvous hashing over the VMs with
+// an entry; entries ask it for tokens. A home that starts keeps a fresh, partly filled bucket, and an entry
+// that can't reach the home falls back on its own small share of the plan.
 #pragma once
 
 #include "state/Names.h"
--- a/src/coordination/SlotGate.cpp
+++ b/src/coordination/SlotGate.cpp
@@ -72,8 +72,8 @@
 {
     if (m_running < m_limit && m_waiting.empty())
         return Duration::zero();
-    const auto ahead = static_cast<std::int64_t>(
-        std::distance(m_waiting.begin(), m_waiting.lower_bound({ rank + 1, 0 })));
+    const auto ahead
+        = static_cast<std::int64_t>(std::distance(m_waiting.begin(), m_waiting.lower_bound({ rank + 1, 0 })));
     return m_meanHold * (ahead + 1) / std::max<std::int64_t>(m_limit, 1);
 }
 
--- a/src/coordination/SlotGate.h
+++ b/src/coordination/SlotGate.h
@@ -1,6 +1,7 @@
 // Admission to the upstream beside this node. It keeps the number of running requests at what the upstream
 // runs at the same time, so that the upstream never sheds, and lets the rest wait for as long as they can
-// still be answered in time. Answers the load in which requests come faster than the upstream's slots free up.
+// still be answered in time. Answers the load in which requests come faster than the upstream's slots free
+// up.
 #pragma once
 
 #include "state/UpstreamLoad.h"
--- a/src/coordination/UpstreamChoice.cpp
+++ b/src/coordination/UpstreamChoice.cpp
@@ -20,7 +20,8 @@
 constexpr Duration failureLife = 2s;
 constexpr double leastWeight = 1e-6;
 constexpr Duration assumedHold = 50ms;
-/// How strongly faster upstreams are preferred: squared, so that the slow ones serve when the others are busy.
+/// How strongly faster upstreams are preferred: squared, so that the slow ones serve when the others are
+/// busy.
 constexpr double speedExponent = 2;
 /// How strongly waiting requests count against a VM.
 constexpr double queueExponent = 2;
--- a/src/protocol/JsonReader.cpp
+++ b/src/protocol/JsonReader.cpp
@@ -172,7 +172,8 @@
     const Json* json = find(key, presence);
     if (!json)
         return;
-    const auto duration = json->is_string() ? parseDuration(json->get_ref<const std::string&>()) : std::nullopt;
+    const auto duration
+        = json->is_string() ? parseDuration(json->get_ref<const std::string&>()) : std::nullopt;
     if (!duration)
         return addProblem(ResultCode::FieldTypeWrong, key, durationAdvice);
     target = *duration;
--- a/src/state/ServingConfig.cpp
+++ b/src/state/ServingConfig.cpp
@@ -10,8 +10,8 @@
 {
     const auto colon = host.find(':');
     std::string name(host.substr(0, colon));
-    std::ranges::transform(
-        name, name.begin(), [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c; });
+    std::ranges::transform(name, name.begin(),
+        [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c; });
     return name;
 }
 
