--- a/src/coordination/UpstreamDirectory.cpp
+++ b/src/coordination/UpstreamDirectory.cpp
@@ -82,8 +82,7 @@
     for (const auto& [instance, upstream] : m_upstreams)
         vms.push_back(upstream.entry.vm);
     std::ranges::sort(vms);
-    const auto repeated = std::ranges::unique(vms);
-    vms.erase(repeated.begin(), repeated.end());
+    vms.erase(std::unique(vms.begin(), vms.end()), vms.end());
     return vms;
 }
 
--- /dev/null
+++ b/test/soak/SoakWorld.cpp
@@ -0,0 +1,182 @@
+// The stand-ins of the soak.
+#include "SoakWorld.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace Ebonystack::Soak {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string response(int status, const std::string& body, const std::string& fields = {})
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string base64(const std::string& text)
+{
+    std::string encoded((text.size() + 2) / 3 * 4 + 1, '\0');
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(encoded.data()),
+        reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+    encoded.resize(static_cast<std::size_t>(length));
+    return encoded;
+}
+
+std::string field(const HttpRequest& request, const char* name)
+{
+    return std::string(request.head.fields.find(name).value_or(""));
+}
+
+} // namespace
+
+HttpStandIn::HttpStandIn(boost::asio::io_context& io, const std::string& address, Handle handle)
+    : m_handle(std::move(handle))
+    , m_acceptor(io, address, [this](auto socket) { accept(std::move(socket)); })
+{
+}
+
+void HttpStandIn::accept(boost::asio::ip::tcp::socket socket)
+{
+    auto stream = std::make_shared<ByteStream>(std::move(socket));
+    auto parser = std::make_shared<RequestParser>(16384, 1 << 20);
+    m_streams.insert(stream);
+    const std::weak_ptr<ByteStream> weak = stream;
+    stream->start(
+        [this, weak, parser](std::string_view bytes) {
+            parser->feed(bytes);
+            if (!parser->done())
+                return;
+            const HttpRequest request = parser->take();
+            *parser = RequestParser(16384, 1 << 20);
+            m_handle(request, [weak](const std::string& answer) {
+                const auto held = weak.lock();
+                if (!held)
+                    return;
+                if (answer.empty())
+                    held->close();
+                else
+                    held->write(answer);
+            });
+        },
+        [this, weak](StreamEnd) { m_streams.erase(weak.lock()); });
+}
+
+void HttpStandIn::closeConnections()
+{
+    for (const auto& stream : m_streams)
+        stream->close();
+    m_streams.clear();
+}
+
+StoreStandIn::StoreStandIn(boost::asio::io_context& io)
+    : m_server(io, "127.0.0.1:0", [this](const HttpRequest& request, HttpStandIn::Answer answer) {
+        handle(request, std::move(answer));
+    })
+{
+}
+
+void StoreStandIn::put(const std::string& key, const std::string& value)
+{
+    m_items[key] = { value, ++m_revision, false };
+    changed();
+}
+
+void StoreStandIn::remove(const std::string& key)
+{
+    m_items[key] = { "", ++m_revision, true };
+    changed();
+}
+
+void StoreStandIn::setDown(bool down)
+{
+    m_down = down;
+    if (!down)
+        return;
+    m_watches.clear();
+    m_server.closeConnections();
+}
+
+void StoreStandIn::handle(const HttpRequest& request, HttpStandIn::Answer answer)
+{
+    if (m_down)
+        return answer(response(503, ""));
+    if (request.head.target.starts_with("/kv-range"))
+        return answer(response(200, listing()));
+    const auto at = request.head.target.find("&after=");
+    const std::uint64_t after = std::stoull(request.head.target.substr(at + 7));
+    if (after < m_revision)
+        return answer(response(200, changesAfter(after)));
+    m_watches.push_back({ after, std::move(answer) });
+}
+
+std::string StoreStandIn::listing() const
+{
+    Json items = Json::array();
+    for (const auto& [key, item] : m_items) {
+        if (!item.removed)
+            items.push_back(
+                { { "key", key }, { "value", base64(item.value) }, { "revision", item.revision } });
+    }
+    return Json { { "items", items }, { "has_more", false }, { "current_rev", m_revision } }.dump();
+}
+
+std::string StoreStandIn::changesAfter(std::uint64_t after) const
+{
+    Json events = Json::array();
+    for (const auto& [key, item] : m_items) {
+        if (item.revision <= after)
+            continue;
+        if (item.removed)
+            events.push_back({ { "key", key }, { "revision", item.revision }, { "tombstone", true } });
+        else
+            events.push_back(
+                { { "key", key }, { "value", base64(item.value) }, { "revision", item.revision } });
+    }
+    return Json { { "events", events }, { "current_rev", m_revision } }.dump();
+}
+
+void StoreStandIn::changed()
+{
+    const auto watches = std::exchange(m_watches, {});
+    for (const Watch& watch : watches)
+        watch.answer(response(200, changesAfter(watch.after)));
+}
+
+UpstreamStandIn::UpstreamStandIn(boost::asio::io_context& io, const std::string& address,
+    std::string instance, RunRecord& record, std::uint64_t seed)
+    : m_io(io)
+    , m_instance(std::move(instance))
+    , m_record(record)
+    , m_random(seed)
+    , m_server(io, address, [this](const HttpRequest& request, HttpStandIn::Answer answer) {
+        handle(request, std::move(answer));
+    })
+{
+}
+
+void UpstreamStandIn::handle(const HttpRequest& request, HttpStandIn::Answer answer)
+{
+    constexpr std::uint64_t lostOneIn = 200;
+    const std::string id = field(request, "Ebonystack-Attempt-Id");
+    if (const std::string expected = field(request, "Ebonystack-Expect-Instance"); expected != m_instance)
+        return answer(response(421, "", "Ebonystack-Attempt-Id: " + id + "\r\n"));
+    if (request.head.fields.find("Authorization"))
+        m_record.violations.push_back("a key reached the upstream with " + id);
+    if (field(request, "Ebonystack-Tenant") != "team"
+        || field(request, "Ebonystack-Caller-Service") != "registry")
+        m_record.violations.push_back("wrong team or caller with " + id);
+    ++m_record.runs[id];
+    const bool lost = m_random.below(lostOneIn) == 0;
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        m_io, std::chrono::milliseconds(3 + m_random.below(40)));
+    timer->async_wait([timer, answer = std::move(answer), id, lost](const boost::system::error_code&) {
+        answer(lost ? ""
+                    : response(200, "ok:" + id,
+                        "Ebonystack-Attempt-Id: " + id + "\r\nEbonystack-Server-Seal: s\r\n"));
+    });
+}
+
+} // namespace Ebonystack::Soak
--- /dev/null
+++ b/test/soak/SoakWorld.h
@@ -0,0 +1,94 @@
+// What surrounds the sidecars of the soak: the platform's store, the upstreams and their record of what ran.
+#pragma once
+
+#include "state/RandomSource.h"
+#include "transport/ByteStream.h"
+#include "transport/HttpCodec.h"
+#include "transport/StreamAcceptor.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Ebonystack::Soak {
+
+/// Serves requests of many connections; the answer may come later.
+class HttpStandIn {
+public:
+    using Answer = std::function<void(const std::string& bytes)>;
+    using Handle = std::function<void(const HttpRequest&, Answer)>;
+
+    HttpStandIn(boost::asio::io_context&, const std::string& address, Handle handle);
+    std::uint16_t port() const { return m_acceptor.port(); }
+    void closeConnections();
+
+private:
+    void accept(boost::asio::ip::tcp::socket);
+
+    Handle m_handle;
+    std::set<std::shared_ptr<ByteStream>> m_streams;
+    StreamAcceptor m_acceptor;
+};
+
+/// The platform's store as its pages describe it: items with revisions, listings and watches.
+class StoreStandIn {
+public:
+    explicit StoreStandIn(boost::asio::io_context&);
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_server.port()); }
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+    /// While it is down it answers 503 and cuts the watches.
+    void setDown(bool down);
+
+private:
+    struct Item {
+        std::string value;
+        std::uint64_t revision;
+        bool removed;
+    };
+    struct Watch {
+        std::uint64_t after;
+        HttpStandIn::Answer answer;
+    };
+
+    void handle(const HttpRequest&, HttpStandIn::Answer);
+    std::string listing() const;
+    std::string changesAfter(std::uint64_t) const;
+    void changed();
+
+    std::map<std::string, Item> m_items;
+    std::vector<Watch> m_watches;
+    std::uint64_t m_revision { 1 };
+    bool m_down { false };
+    HttpStandIn m_server;
+};
+
+/// What upstreams saw, by request id.
+struct RunRecord {
+    std::map<std::string, int> runs;
+    std::vector<std::string> violations;
+};
+
+/// One upstream; answers after a random time, and now and then ends the connection instead.
+class UpstreamStandIn {
+public:
+    UpstreamStandIn(boost::asio::io_context&, const std::string& address, std::string instance, RunRecord&,
+        std::uint64_t seed);
+    void closeConnections() { m_server.closeConnections(); }
+
+private:
+    void handle(const HttpRequest&, HttpStandIn::Answer);
+
+    boost::asio::io_context& m_io;
+    std::string m_instance;
+    RunRecord& m_record;
+    RandomSource m_random;
+    HttpStandIn m_server;
+};
+
+} // namespace Ebonystack::Soak
--- /dev/null
+++ b/test/soak/main.cpp
@@ -0,0 +1,333 @@
+// A randomized fault soak of real sidecar processes on loopback. Signals kill, pause, stop and restart them,
+// the store goes down and changes its configuration, upstreams close connections; all in series and
+// overlapping, by seed. What callers and upstreams saw is judged while it runs: whole answers, orders at most
+// once, true refusals, no keys at upstreams, and service again after the faults.
+#include "SoakWorld.h"
+#include "live/ChildProcess.h"
+#include "transport/Log.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+DEFINE_uint64(seed, 1, "The first seed.");
+DEFINE_uint64(seeds, 1, "How many seeds to run, one after the other.");
+DEFINE_uint64(nodes, 4, "Sidecars, each in a VM of its own on loopback.");
+DEFINE_uint64(seconds, 8, "Seconds of faults for each seed.");
+DEFINE_uint64(network, 0, "Third number of the loopback addresses, so that several soaks can run at once.");
+DEFINE_string(sidecar, "build/ebony-sidecar", "The program.");
+DEFINE_string(logs, "build/soak", "Where the logs of failed seeds are kept.");
+
+namespace {
+
+using namespace Ebonystack;
+using namespace Ebonystack::Soak;
+using namespace std::chrono_literals;
+using Timer = boost::asio::steady_timer;
+using Clock = std::chrono::steady_clock;
+
+constexpr auto startTime = 4s; // until all nodes are linked
+constexpr auto calmTime = 6s; // after the last fault: restarts, entries and links come back
+constexpr auto judgedTime = 2s; // the end of the calm, in which reads have to be served
+constexpr double leastServed = 0.9; // of these reads
+constexpr auto requestInterval = 8ms;
+constexpr auto patience = 1500ms;
+constexpr int callerPort = 21000;
+constexpr int peerPort = 21001;
+constexpr int readyPort = 21002;
+constexpr int upstreamPort = 21003;
+
+struct Sent {
+    bool order { false };
+    bool judged { false }; // sent in the judged time
+    int status { 0 }; // 0: no answer
+};
+
+class SoakRun {
+public:
+    explicit SoakRun(std::uint64_t seed)
+        : m_seed(seed)
+        , m_random(seed)
+        , m_folder(std::filesystem::temp_directory_path() / ("ebony-soak-" + std::to_string(getpid())))
+        , m_store(m_io)
+    {
+        std::filesystem::create_directories(m_folder);
+        putConfig();
+        for (std::uint64_t i = 0; i < FLAGS_nodes; ++i) {
+            m_upstreams.push_back(std::make_unique<UpstreamStandIn>(
+                m_io, address(i, upstreamPort), "i-" + std::to_string(i), m_record, seed + i));
+            putEntry(i);
+            m_nodes.push_back(startNode(i));
+        }
+    }
+
+    ~SoakRun() { std::filesystem::remove_all(m_folder); }
+
+    /// True when every promise held.
+    bool run()
+    {
+        runFor(startTime);
+        sendRequests();
+        scheduleFault();
+        runFor(std::chrono::seconds(FLAGS_seconds));
+        m_faultsOver = true;
+        heal();
+        runFor(calmTime - judgedTime);
+        m_judging = true;
+        runFor(judgedTime);
+        m_sending = false;
+        runFor(patience + 500ms);
+        judge();
+        report();
+        return m_record.violations.empty();
+    }
+
+private:
+    static std::string vmAddress(std::uint64_t node)
+    {
+        return "127.0." + std::to_string(FLAGS_network) + '.' + std::to_string(11 + node);
+    }
+
+    static std::string address(std::uint64_t node, int port)
+    {
+        return vmAddress(node) + ':' + std::to_string(port);
+    }
+
+    void putConfig()
+    {
+        const auto route = [](const char* kind, const char* prefix) {
+            return nlohmann::json { { "host", "example" }, { "path_prefix", prefix }, { "route_kind", kind },
+                { "timeout", "1000ms" }, { "target_latency", "500ms" }, { "priority", 1 },
+                { "service", "registry" }, { "max_attempts", 2 } };
+        };
+        char version[16];
+        std::snprintf(version, sizeof version, "%08x", ++m_version);
+        m_store.put("op/config",
+            nlohmann::json { { "version", version },
+                { "routes",
+                    { { "read", route("idempotent", "/r/") }, { "order", route("non_idempotent", "/o/") } } },
+                { "tenants", { { "team", { { "api_keys", { "k" } } } } } } }
+                .dump());
+    }
+
+    void putEntry(std::uint64_t node)
+    {
+        m_store.put("servers/i-" + std::to_string(node),
+            nlohmann::json { { "address", address(node, upstreamPort) },
+                { "info", { { "service", "registry" }, { "zone", "a" }, { "slots", 40 } } },
+                { "status", { { "state", "ready" }, { "cold_left", "0ms" } } } }
+                .dump());
+    }
+
+    std::unique_ptr<ChildProcess> startNode(std::uint64_t node)
+    {
+        const auto settings = m_folder / ("node-" + std::to_string(node) + ".json");
+        const std::string vm = vmAddress(node);
+        std::ofstream(settings) << nlohmann::json { { "vm", vm }, { "dataCentre", "a" },
+            { "service", "registry" }, { "upstreamAddress", address(node, upstreamPort) },
+            { "callerAddress", address(node, callerPort) }, { "readinessAddress", address(node, readyPort) },
+            { "storeAddress", m_store.address() }, { "peerPort", peerPort }, { "grace", "4s" } };
+        const auto log
+            = m_folder / ("node-" + std::to_string(node) + "-" + std::to_string(++m_starts) + ".log");
+        return std::make_unique<ChildProcess>(
+            std::vector<std::string> { FLAGS_sidecar, "--config", settings.string() }, log.string());
+    }
+
+    void runFor(Clock::duration time)
+    {
+        m_io.restart();
+        m_io.run_for(time);
+    }
+
+    template <typename Step> void after(Clock::duration delay, Step step)
+    {
+        auto timer = std::make_shared<Timer>(m_io, delay);
+        timer->async_wait([timer, step](const boost::system::error_code&) { step(); });
+    }
+
+    void sendRequests()
+    {
+        if (!m_sending)
+            return;
+        sendOne();
+        after(requestInterval, [this] { sendRequests(); });
+    }
+
+    void sendOne()
+    {
+        const std::uint64_t node = m_random.below(FLAGS_nodes);
+        const bool order = m_random.below(3) == 0;
+        const std::string id = std::to_string(m_seed) + "-" + std::to_string(m_sent.size());
+        m_sent[id] = { order, m_judging, 0 };
+        connectStream(m_io, address(node, callerPort), 1s,
+            [this, id, order](const std::shared_ptr<ByteStream>& stream) {
+                if (!stream)
+                    return;
+                auto parser = std::make_shared<ResponseParser>(false, 1 << 20);
+                stream->start(
+                    [this, id, parser, weak = std::weak_ptr<ByteStream>(stream)](std::string_view bytes) {
+                        parser->feed(bytes);
+                        const auto held = weak.lock();
+                        if (!parser->done() || !held)
+                            return;
+                        held->close();
+                        onAnswer(id, parser->take());
+                    },
+                    [](StreamEnd) {});
+                stream->write("GET /" + std::string(order ? "o" : "r")
+                    + "/x HTTP/1.1\r\nHost: example\r\nEbonystack-Attempt-Id: " + id
+                    + "\r\nEbonystack-Deadline-Ms: 1400\r\nAuthorization: Bearer k\r\n\r\n");
+                after(patience, [stream] { stream->close(); });
+            });
+    }
+
+    void onAnswer(const std::string& id, const HttpResponse& response)
+    {
+        m_sent[id].status = response.head.status;
+        if (response.head.status != 200)
+            return;
+        if (!response.head.fields.find("Ebonystack-Server-Seal") || response.body != "ok:" + id)
+            m_record.violations.push_back("wrong answer to " + id);
+        if (!m_record.runs.contains(id))
+            m_record.violations.push_back("success without a run for " + id);
+    }
+
+    // Faults.
+
+    void scheduleFault()
+    {
+        if (m_faultsOver)
+            return;
+        static constexpr std::array faults { &SoakRun::killNode, &SoakRun::pauseNode, &SoakRun::stopNode,
+            &SoakRun::storeOutage, &SoakRun::dropUpstreamConnections, &SoakRun::changeConfig,
+            &SoakRun::reloadNode };
+        (this->*faults[m_random.below(faults.size())])(m_random.below(FLAGS_nodes));
+        after(std::chrono::milliseconds(150 + m_random.below(900)), [this] { scheduleFault(); });
+    }
+
+    void killNode(std::uint64_t node)
+    {
+        m_nodes[node]->signal(SIGCONT);
+        m_nodes[node]->signal(SIGKILL);
+        restartLater(node, std::chrono::milliseconds(100 + m_random.below(1000)));
+    }
+
+    void stopNode(std::uint64_t node)
+    {
+        m_nodes[node]->signal(SIGTERM);
+        restartLater(node, std::chrono::milliseconds(3500 + m_random.below(1000)));
+    }
+
+    void pauseNode(std::uint64_t node)
+    {
+        m_nodes[node]->signal(SIGSTOP);
+        after(std::chrono::milliseconds(100 + m_random.below(2500)),
+            [this, node] { m_nodes[node]->signal(SIGCONT); });
+    }
+
+    void restartLater(std::uint64_t node, Clock::duration delay)
+    {
+        after(delay, [this, node] {
+            if (m_nodes[node]->exitCode())
+                m_nodes[node] = startNode(node);
+        });
+    }
+
+    void storeOutage(std::uint64_t)
+    {
+        m_store.setDown(true);
+        after(std::chrono::milliseconds(200 + m_random.below(2500)), [this] { m_store.setDown(false); });
+    }
+
+    void dropUpstreamConnections(std::uint64_t node) { m_upstreams[node]->closeConnections(); }
+    void changeConfig(std::uint64_t) { putConfig(); }
+    void reloadNode(std::uint64_t node) { m_nodes[node]->signal(SIGHUP); }
+
+    void heal()
+    {
+        m_store.setDown(false);
+        for (std::uint64_t node = 0; node < FLAGS_nodes; ++node) {
+            m_nodes[node]->signal(SIGCONT);
+            restartLater(node, 200ms);
+            restartLater(node, calmTime - judgedTime - 2500ms);
+        }
+    }
+
+    // Judging.
+
+    void judge()
+    {
+        int judged = 0;
+        int served = 0;
+        for (const auto& [id, sent] : m_sent) {
+            const auto found = m_record.runs.find(id);
+            const int runs = found == m_record.runs.end() ? 0 : found->second;
+            if (sent.order && runs > 1)
+                m_record.violations.push_back("order " + id + " ran " + std::to_string(runs) + " times");
+            if (sent.order && (sent.status == 503 || sent.status == 429) && runs > 0)
+                m_record.violations.push_back("order " + id + " was called not run and ran");
+            if (sent.status == 401 || sent.status == 404)
+                m_record.violations.push_back("proper request " + id + " was denied");
+            judged += sent.judged && !sent.order ? 1 : 0;
+            served += sent.judged && !sent.order && sent.status == 200 ? 1 : 0;
+        }
+        m_served = judged > 0 ? static_cast<double>(served) / judged : 0;
+        if (m_served < leastServed)
+            m_record.violations.push_back(
+                "after the faults only " + std::to_string(m_served) + " of reads are served");
+    }
+
+    void report()
+    {
+        std::printf("seed %llu: %zu requests, %zu run, served after the faults %.3f, %d starts: %s\n",
+            static_cast<unsigned long long>(m_seed), m_sent.size(), m_record.runs.size(), m_served, m_starts,
+            m_record.violations.empty() ? "held" : "BROKEN");
+        for (const std::string& violation : m_record.violations)
+            std::printf("    %s\n", violation.c_str());
+        std::fflush(stdout);
+        if (m_record.violations.empty())
+            return;
+        const auto kept = std::filesystem::path(FLAGS_logs) / ("seed-" + std::to_string(m_seed));
+        std::filesystem::create_directories(kept.parent_path());
+        std::filesystem::copy(m_folder, kept,
+            std::filesystem::copy_options::recursive | std::filesystem::copy_options::overwrite_existing);
+    }
+
+    const std::uint64_t m_seed;
+    RandomSource m_random;
+    const std::filesystem::path m_folder;
+    boost::asio::io_context m_io { 1 };
+    RunRecord m_record;
+    StoreStandIn m_store;
+    std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
+    std::vector<std::unique_ptr<ChildProcess>> m_nodes;
+    std::map<std::string, Sent> m_sent;
+    unsigned m_version { 0 };
+    int m_starts { 0 };
+    bool m_sending { true };
+    bool m_judging { false };
+    bool m_faultsOver { false };
+    double m_served { 0 };
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(
+        "Runs sidecars under random faults and judges what callers and upstreams saw.\n\n"
+        "    sidecar-soak --seed 1 --seeds 50\n\n"
+        "Exit codes: 0 every promise held, 1 one was broken; the logs of its seed are kept.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    int failed = 0;
+    for (std::uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_seeds; ++seed)
+        failed += SoakRun(seed).run() ? 0 : 1;
+    std::printf("%llu passed, %d failed\n", static_cast<unsigned long long>(FLAGS_seeds) - failed, failed);
+    return failed == 0 ? 0 : 1;
+}
