Confirm the contact with the store at once after a failure

Cause: a node counted as out of contact until its next watch returned, up to 25 s in a quiet store. The first watch after a failure now returns at once. Ruled out: the mirror (all changes came within 0.6 s), the directory (entries of ready instances only). The new test was seen to fail without the change.

--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -20,6 +20,7 @@
 /// How long one watch waits for a change: each call has a price.
 constexpr Duration watchWait = 25s;
 constexpr Duration watchMargin = 2s;
+constexpr Duration confirmationWait = 1ms;
 /// Pauses after failed calls, doubled with each up to the longest; the jitter spreads the nodes.
 constexpr Duration firstPause = 80ms;
 constexpr Duration longestPause = 400ms;
@@ -133,9 +134,11 @@
     {
         if (!follower->stream || !follower->stream->isOpen())
             return connect(follower);
+        // After a failure the first watch returns at once: the contact is known to be back, however quiet the
+        // store is.
+        const Duration wait = follower->failures > 0 ? confirmationWait : watchWait;
         const std::string target = follower->watching
-            ? dialect.watchTarget(
-                follower->prefix, std::max(follower->revision, mirror.revision()), watchWait)
+            ? dialect.watchTarget(follower->prefix, std::max(follower->revision, mirror.revision()), wait)
             : dialect.pageTarget(
                 follower->prefix, follower->listed.empty() ? "" : follower->listed.back().key);
         RequestHead head;
@@ -145,7 +148,7 @@
         follower->parser.emplace(false, longestBody);
         follower->input.clear();
         ++calls;
-        after(follower, follower->watching ? watchWait + watchMargin : listTimeout, &Internals::onTimeout);
+        after(follower, follower->watching ? wait + watchMargin : listTimeout, &Internals::onTimeout);
         follower->stream->write(writeRequest(head, {}));
     }
 
--- a/test/correctness/StoreReaderFollows.cpp
+++ b/test/correctness/StoreReaderFollows.cpp
@@ -129,3 +129,22 @@
     REQUIRE(bench.runUntil([&] { return bench.mirror.revision() == 7; }));
     CHECK(bench.items.empty());
 }
+
+TEST_CASE("after a failure the contact is known to be back, although nothing changes in the store")
+{
+    int refusals = 4;
+    bool listed = false;
+    ReaderBench bench([&](const HttpRequest& request) {
+        if (!isWatch(request)) {
+            listed = true;
+            return page(emptyPage);
+        }
+        if (refusals-- > 0)
+            return page("", 503);
+        const bool waits = request.head.target.find("wait_ms=1&") == std::string::npos
+            && !request.head.target.ends_with("wait_ms=1");
+        return waits ? ScriptedAnswer { "", false, true } : page(R"({"events":[],"current_rev":7})");
+    });
+    REQUIRE(bench.runUntil([&] { return listed && bench.reader.isAway(monotonicNow()); }));
+    CHECK(bench.runUntil([&] { return !bench.reader.isAway(monotonicNow()); }));
+}
