--- a/test/correctness/EntryNodesShedLowestWorthFirst.cpp
+++ b/test/correctness/EntryNodesShedLowestWorthFirst.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 const ServiceName deep { "deep" };
-const DemandClass read { { "read" }, 2, 1, false };
+const DemandClass readClass { { "read" }, 2, 1, false };
 const DemandClass order { { "order" }, 0, 1, false };
 const DemandClass cheap { { "cheap" }, 2, 1, false };
 
@@ -18,7 +18,7 @@
 CallCosts makeCosts()
 {
     CallCosts costs({ "entry" });
-    costs.updateReportedCost(read.route, { { deep, 0.24 } });
+    costs.updateReportedCost(readClass.route, { { deep, 0.24 } });
     costs.updateReportedCost(order.route, { { deep, 0.12 } });
     costs.updateReportedCost(cheap.route, { { { "other" }, 0.1 } });
     return costs;
@@ -47,8 +47,8 @@
 TEST_CASE("without overload all requests are admitted")
 {
     EntryAdmission admission(1);
-    const auto admitted = runDemand(admission, makeCosts(), 0, { { read, 100 }, { order, 50 } }, 3);
-    CHECK(admitted.at(read) > 0.99);
+    const auto admitted = runDemand(admission, makeCosts(), 0, { { readClass, 100 }, { order, 50 } }, 3);
+    CHECK(admitted.at(readClass) > 0.99);
     CHECK(admitted.at(order) > 0.99);
 }
 
@@ -56,9 +56,9 @@
 {
     EntryAdmission admission(1);
     const auto admitted
-        = runDemand(admission, makeCosts(), 0.4, { { read, 100 }, { order, 50 }, { cheap, 50 } }, 10);
-    CHECK(admitted.at(read) < 0.65);
-    CHECK(admitted.at(read) > 0.4);
+        = runDemand(admission, makeCosts(), 0.4, { { readClass, 100 }, { order, 50 }, { cheap, 50 } }, 10);
+    CHECK(admitted.at(readClass) < 0.65);
+    CHECK(admitted.at(readClass) > 0.4);
     CHECK(admitted.at(order) > 0.95);
     CHECK(admitted.at(cheap) > 0.99);
 }
@@ -76,18 +76,18 @@
 TEST_CASE("no class of requests is starved")
 {
     EntryAdmission admission(1);
-    const auto admitted = runDemand(admission, makeCosts(), 0.95, { { read, 100 }, { order, 50 } }, 10);
-    const double meanShare = (100 * admitted.at(read) + 50 * admitted.at(order)) / 150;
+    const auto admitted = runDemand(admission, makeCosts(), 0.95, { { readClass, 100 }, { order, 50 } }, 10);
+    const double meanShare = (100 * admitted.at(readClass) + 50 * admitted.at(order)) / 150;
     // The operators call a class of requests starved below a quarter of the mean.
-    CHECK(admitted.at(read) >= 0.25 * meanShare);
-    CHECK(admitted.at(order) > admitted.at(read));
+    CHECK(admitted.at(readClass) >= 0.25 * meanShare);
+    CHECK(admitted.at(order) > admitted.at(readClass));
 }
 
 TEST_CASE("the share that low-priority requests keep does not displace high-priority ones")
 {
     // Requests of `order` are a twentieth of the work; all of them fit beside a few of `read`.
     EntryAdmission admission(1);
-    const auto admitted = runDemand(admission, makeCosts(), 0.93, { { read, 500 }, { order, 50 } }, 20);
+    const auto admitted = runDemand(admission, makeCosts(), 0.93, { { readClass, 500 }, { order, 50 } }, 20);
     CHECK(admitted.at(order) > 0.8);
 }
 
@@ -95,14 +95,15 @@
 {
     EntryAdmission admission(1);
     const CallCosts unknownCosts({ "entry" });
-    const auto admitted = runDemand(admission, unknownCosts, 0.5, { { read, 100 } }, 10);
-    CHECK(admitted.at(read) < 0.7);
+    const auto admitted = runDemand(admission, unknownCosts, 0.5, { { readClass, 100 } }, 10);
+    CHECK(admitted.at(readClass) < 0.7);
 }
 
 TEST_CASE("a caller retry is shed less than a first request of the same class")
 {
     const DemandClass callerRetry { { "read" }, 2, 1, true };
     EntryAdmission admission(1);
-    const auto admitted = runDemand(admission, makeCosts(), 0.3, { { read, 100 }, { callerRetry, 50 } }, 10);
-    CHECK(admitted.at(callerRetry) > admitted.at(read));
+    const auto admitted
+        = runDemand(admission, makeCosts(), 0.3, { { readClass, 100 }, { callerRetry, 50 } }, 10);
+    CHECK(admitted.at(callerRetry) > admitted.at(readClass));
 }
--- a/test/correctness/RouteCostsIncludeNestedCalls.cpp
+++ b/test/correctness/RouteCostsIncludeNestedCalls.cpp
@@ -11,7 +11,7 @@
 
 const ServiceName front { "front" };
 const ServiceName deep { "deep" };
-const RouteId read { "read" };
+const RouteId readRoute { "read" };
 const RouteId order { "order" };
 const RouteId leaf { "leaf" };
 
@@ -32,8 +32,8 @@
 {
     CallCosts costs(front);
     costs.updateReportedCost(leaf, { { deep, 0.03 } });
-    runRequests(costs, read, 100, 8, 400ms);
-    const CostVector costVector = costs.localCost(read);
+    runRequests(costs, readRoute, 100, 8, 400ms);
+    const CostVector costVector = costs.localCost(readRoute);
     CHECK(costVector.at(front) == doctest::Approx(0.4));
     CHECK(costVector.at(deep) == doctest::Approx(0.24));
 }
@@ -43,35 +43,35 @@
     CallCosts costs(front);
     costs.updateReportedCost(leaf, { { deep, 0.03 } });
     for (int round = 0; round < 300; ++round) {
-        costs.requestStarted(read);
+        costs.requestStarted(readRoute);
         costs.requestStarted(order); // makes no calls
         for (int call = 0; call < 4; ++call)
             costs.recordCall(leaf);
         costs.requestEnded(order, 200ms, true);
-        costs.requestEnded(read, 200ms, true);
+        costs.requestEnded(readRoute, 200ms, true);
         runRequests(costs, order, 1, 0, 200ms);
-        runRequests(costs, read, 1, 4, 200ms);
+        runRequests(costs, readRoute, 1, 4, 200ms);
         if (round % 10 == 0)
             costs.decay();
     }
-    CHECK(costs.localCost(read)[deep] == doctest::Approx(0.12).epsilon(0.15));
+    CHECK(costs.localCost(readRoute)[deep] == doctest::Approx(0.12).epsilon(0.15));
     CHECK(costs.localCost(order)[deep] < 0.02);
 }
 
 TEST_CASE("a report without costs changes nothing, and the cost of a call that is no longer made decays")
 {
     CallCosts costs(front);
-    costs.updateReportedCost(read, { { deep, 0.2 }, { front, 0.1 } });
-    costs.updateReportedCost(read, {});
-    CHECK(costs.reportedCost(read).at(deep) == doctest::Approx(0.2));
+    costs.updateReportedCost(readRoute, { { deep, 0.2 }, { front, 0.1 } });
+    costs.updateReportedCost(readRoute, {});
+    CHECK(costs.reportedCost(readRoute).at(deep) == doctest::Approx(0.2));
     for (int i = 0; i < 30; ++i)
-        costs.updateReportedCost(read, { { front, 0.1 } });
-    CHECK(costs.reportedCost(read).at(deep) < 0.01);
+        costs.updateReportedCost(readRoute, { { front, 0.1 } });
+    CHECK(costs.reportedCost(readRoute).at(deep) < 0.01);
 }
 
 TEST_CASE("a route that has not run on this node has no costs and the default service time")
 {
     CallCosts costs(front);
-    CHECK(costs.localCost(read).empty());
-    CHECK(costs.meanServiceTime(read, 7ms) == 7ms);
+    CHECK(costs.localCost(readRoute).empty());
+    CHECK(costs.meanServiceTime(readRoute, 7ms) == 7ms);
 }
