Count arrivals at an upstream: first attempts, repeats, calls of repeated runs

A hop request now says with which probability its arrival is a repeat: 1 once it has reached an upstream, else the share of repeated runs among those at the caller's upstream that can have made the call. Metrics ebony_upstream_arrivals_total and ebony_upstream_arrivals_of_repeated_runs_total; field repeatShare in the log. No decision uses it yet. Nodes without the field read it as 0.

--- a/src/coordination/CallCosts.cpp
+++ b/src/coordination/CallCosts.cpp
@@ -22,20 +22,26 @@
 {
 }
 
-void CallCosts::requestStarted(const RouteId& route) { ++m_localRoutes[route].running; }
+void CallCosts::requestStarted(const RouteId& route, double repeatShare)
+{
+    LocalRoute& local = m_localRoutes[route];
+    ++local.running;
+    local.runningRepeats += repeatShare;
+}
 
-void CallCosts::requestEnded(const RouteId& route, Duration serviceTime, bool executed)
+void CallCosts::requestEnded(const RouteId& route, Duration serviceTime, bool executed, double repeatShare)
 {
     LocalRoute& local = m_localRoutes[route];
     if (local.running > 0)
         --local.running;
+    local.runningRepeats = local.running > 0 ? std::max(0.0, local.runningRepeats - repeatShare) : 0;
     if (!executed)
         return;
     local.completed += 1;
     local.serviceSeconds += toSeconds(serviceTime);
 }
 
-void CallCosts::recordCall(const RouteId& callee)
+double CallCosts::recordCall(const RouteId& callee)
 {
     double total = 0;
     std::vector<std::pair<LocalRoute*, double>> weights;
@@ -53,8 +59,12 @@
         weights.emplace_back(&local, weight);
         total += weight;
     }
-    for (const auto& [local, weight] : weights)
+    double repeatShare = 0;
+    for (const auto& [local, weight] : weights) {
         local->calls[callee] += weight / total;
+        repeatShare += weight / total * local->runningRepeats / local->running;
+    }
+    return repeatShare;
 }
 
 void CallCosts::updateReportedCost(const RouteId& route, const CostVector& reported)
--- a/src/coordination/CallCosts.h
+++ b/src/coordination/CallCosts.h
@@ -18,13 +18,15 @@
 public:
     explicit CallCosts(ServiceName localService);
 
-    /// Called when a request of the route starts to run at the upstream beside this node.
-    void requestStarted(const RouteId&);
+    /// Called when a request of the route starts to run at the upstream beside this node. `repeatShare` is
+    /// the probability that its run is a repeat, see HopRequest.
+    void requestStarted(const RouteId&, double repeatShare = 0);
     /// Called when the request has ended after `serviceTime`. `executed` is false when the upstream did not
-    /// run it; its service time then does not count.
-    void requestEnded(const RouteId&, Duration serviceTime, bool executed);
-    /// Called when the upstream beside this node makes a nested call of the route `callee`.
-    void recordCall(const RouteId& callee);
+    /// run it; its service time then does not count. `repeatShare` is that of its start.
+    void requestEnded(const RouteId&, Duration serviceTime, bool executed, double repeatShare = 0);
+    /// Called when the upstream beside this node makes a nested call of the route `callee`. Returns the
+    /// probability that a repeated run makes the call.
+    double recordCall(const RouteId& callee);
 
     /// Updates the costs of a route from the costs that a response reported.
     void updateReportedCost(const RouteId&, const CostVector& reported);
@@ -41,6 +43,7 @@
 private:
     struct LocalRoute {
         std::uint32_t running { 0 };
+        double runningRepeats { 0 }; // sum of the repeat shares of the running requests
         // Sums that `decay` reduces:
         double completed { 0 }; // requests
         double serviceSeconds { 0 }; // service time of the completed requests
--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -2,6 +2,7 @@
 // frame's type in PeerFrame.
 #include "protocol/PeerFrame.h"
 
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 
@@ -108,7 +109,8 @@
 {
     return Json::array({ frame.number, frame.route.text, frame.remainingTime.count(),
         frame.maxGateWait.count(), frame.rank, frame.idempotent, frame.isRedispatch, frame.instance.text,
-        frame.method, encodeBytes(frame.target), encodeFields(frame.fields), encodeBytes(frame.body) });
+        frame.method, encodeBytes(frame.target), encodeFields(frame.fields), encodeBytes(frame.body),
+        frame.repeatShare });
 }
 
 Json encode(const HopResponse& frame)
@@ -177,8 +179,9 @@
 
 PeerFrame decodeRequest(const Json& json)
 {
+    const double repeatShare = json.size() > 12 ? std::clamp(json.at(12).get<double>(), 0.0, 1.0) : 0;
     return HopRequest { json.at(0), { json.at(1) }, decodeDuration(json.at(2)), decodeDuration(json.at(3)),
-        json.at(4), json.at(5), json.at(6), { json.at(7) }, json.at(8), decodeBytes(json.at(9)),
+        json.at(4), json.at(5), json.at(6), repeatShare, { json.at(7) }, json.at(8), decodeBytes(json.at(9)),
         decodeFields(json.at(10)), decodeBytes(json.at(11)) };
 }
 
--- a/src/protocol/PeerFrame.h
+++ b/src/protocol/PeerFrame.h
@@ -51,6 +51,10 @@
     int rank { 0 }; ///< see GateRequest
     bool idempotent { false };
     bool isRedispatch { false }; ///< the entry node has sent it to another node before
+    /// The probability that an arrival at the upstream is a repeat: 1 when the request has reached an
+    /// upstream before, else the probability that a repeated run has made this nested call. Optional on the
+    /// wire.
+    double repeatShare { 0 };
     InstanceId instance; ///< the only instance that may run the request
     std::string method;
     std::string target;
--- a/src/transport/EntryCall.h
+++ b/src/transport/EntryCall.h
@@ -36,6 +36,7 @@
     std::uint32_t upstreamAttempts { 0 }; ///< dispatches that reached or may have reached an upstream
     bool mayHaveRun { false };
     bool retried { false };
+    double repeatShare { 0 }; ///< the probability that a repeated run has made this nested call
     std::uint64_t hopNumber { 0 }; ///< of the hop request without a response; 0: none
     VmId hopVm; ///< of the last dispatch
     std::optional<HopResponse> lastFailure; ///< a server error, delivered if no retry succeeds
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -135,7 +135,7 @@
         call.service = serviceSplit.next(*call.route);
         prepareUpstreamFields(call);
         if (call.isNested)
-            state.costs.recordCall(call.route->id);
+            call.repeatShare = state.costs.recordCall(call.route->id);
         return std::nullopt;
     }
 
@@ -294,6 +294,7 @@
         request.rank = call->isNested ? nestedCallRank
                                       : call->route->priority * ranksPerRoutePriority + call->teamPriority;
         request.isRedispatch = call->dispatches > 0;
+        request.repeatShare = call->upstreamAttempts > 0 ? 1 : call->repeatShare;
         request.idempotent = call->route->idempotent;
         request.instance = chosen->record.instance;
         request.method = call->request.head.method;
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -114,9 +114,10 @@
         const JobPtr job = found->second;
         waiting.erase(found);
         job->startedAt = now;
-        state.costs.requestStarted(job->request.route);
+        state.costs.requestStarted(job->request.route, job->request.repeatShare);
         if (job->deadline - now < minTimeToRun) {
-            state.costs.requestEnded(job->request.route, Duration::zero(), false);
+            state.costs.requestEnded(
+                job->request.route, Duration::zero(), false, job->request.repeatShare);
             startJobs(gate.depart(Duration::zero(), now), now);
             return finishNotRun(job, HopReason::TooLate);
         }
@@ -155,7 +156,7 @@
             state.timers.cancel(*job->timeout);
         job->timeout.reset();
         const Duration serviceTime = now - job->startedAt;
-        state.costs.requestEnded(job->request.route, serviceTime, hasRun);
+        state.costs.requestEnded(job->request.route, serviceTime, hasRun, job->request.repeatShare);
         startJobs(gate.depart(serviceTime, now), now);
     }
 
@@ -168,6 +169,7 @@
     void send(const JobPtr& job, Instant now)
     {
         const HopRequest& request = job->request;
+        countArrival(*job);
         RequestHead head;
         head.method = request.method;
         head.target = request.target;
@@ -183,6 +185,16 @@
             });
     }
 
+    void countArrival(const Job& job)
+    {
+        if (job.resent || job.request.repeatShare >= 1) {
+            ++state.counters.repeatArrivals;
+            return;
+        }
+        ++state.counters.firstArrivals;
+        state.counters.arrivalsOfRepeatedRuns += job.request.repeatShare;
+    }
+
     void onResult(const JobPtr& job, UpstreamResult result)
     {
         const Instant now = state.now();
@@ -286,6 +298,7 @@
             return nlohmann::json { { "entry", job->origin.vm.text }, { "route", job->request.route.text },
                 { "status", response.status }, { "reason", describe(response.reason) },
                 { "arrived", response.reachedUpstream }, { "rank", job->request.rank },
+                { "repeatShare", job->request.repeatShare },
                 { "waitedMs", toMilliseconds(response.gateWait) },
                 { "heldMs", started ? toMilliseconds(now - job->startedAt) : 0 },
                 { "running", response.load.gate.running }, { "queued", response.load.gate.queued },
--- a/src/transport/SidecarMetrics.cpp
+++ b/src/transport/SidecarMetrics.cpp
@@ -37,6 +37,15 @@
         "Time for which an answered request held a slot.", "route", counters.upstreamTimes));
     families.push_back(
         makeCounter("ebony_repeats_total", "Requests sent to a second upstream.", counters.retries));
+    MetricFamily arrivals = makeMetricFamily("ebony_upstream_arrivals_total",
+        "Requests sent to the upstream: first attempts, and repeats of requests that reached an upstream.",
+        MetricType::Counter);
+    addCounter(arrivals, { { "attempt", "first" } }, counters.firstArrivals);
+    addCounter(arrivals, { { "attempt", "repeat" } }, counters.repeatArrivals);
+    families.push_back(std::move(arrivals));
+    families.push_back(makeCounter("ebony_upstream_arrivals_of_repeated_runs_total",
+        "Expected number of first attempts among them that are calls of repeated runs.",
+        static_cast<std::uint64_t>(counters.arrivalsOfRepeatedRuns)));
     families.push_back(
         makeCounter("ebony_cancelled_total", "Requests whose caller left.", counters.cancelled));
     families.push_back(
--- a/test/correctness/RouteCostsIncludeNestedCalls.cpp
+++ b/test/correctness/RouteCostsIncludeNestedCalls.cpp
@@ -75,3 +75,15 @@
     CHECK(costs.localCost(readRoute).empty());
     CHECK(costs.meanServiceTime(readRoute, 7ms) == 7ms);
 }
+
+TEST_CASE("a nested call is a repeat with the share of repeated runs among those that can have made it")
+{
+    CallCosts costs(front);
+    CHECK(costs.recordCall(leaf) == 0);
+    costs.requestStarted(readRoute, 1);
+    costs.requestStarted(readRoute, 0);
+    costs.requestStarted(readRoute, 0.5);
+    CHECK(costs.recordCall(leaf) == doctest::Approx(0.5));
+    costs.requestEnded(readRoute, 200ms, true, 1);
+    CHECK(costs.recordCall(leaf) == doctest::Approx(0.25));
+}
--- a/test/fuzz/PeerFramesHandleMalformedInput.cpp
+++ b/test/fuzz/PeerFramesHandleMalformedInput.cpp
@@ -19,6 +19,7 @@
     request.rank = -1;
     request.idempotent = true;
     request.isRedispatch = true;
+    request.repeatShare = 0.25;
     request.instance = { "i-1" };
     request.method = "POST";
     request.target = "/a/b?c=\xff";
