--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -116,8 +116,7 @@
         job->startedAt = now;
         state.costs.requestStarted(job->request.route, job->request.repeatShare);
         if (job->deadline - now < minTimeToRun) {
-            state.costs.requestEnded(
-                job->request.route, Duration::zero(), false, job->request.repeatShare);
+            state.costs.requestEnded(job->request.route, Duration::zero(), false, job->request.repeatShare);
             startJobs(gate.depart(Duration::zero(), now), now);
             return finishNotRun(job, HopReason::TooLate);
         }
--- a/tools/lab/LoadScenario.h
+++ b/tools/lab/LoadScenario.h
@@ -66,6 +66,8 @@
 
 enum class ScenarioFaultKind : std::uint8_t {
     Slow, ///< work at upstreams of a service takes `factor` times as long
+    LoseAnswers, ///< upstreams of a service run requests and lose the share `factor` of the responses
+    Reject, ///< upstreams of a service reject the share `factor` of the requests without running them
     Lose, ///< VMs of a service end without notice; at `until` new VMs replace them
     Drain, ///< VMs of a service drain and end; at `until` new VMs replace them
     HotTeam, ///< the first team sends `factor` times its usual rate
--- a/tools/lab/ScenarioParser.cpp
+++ b/tools/lab/ScenarioParser.cpp
@@ -185,6 +185,8 @@
     }
 
     void readSlow(LineReader& line) { readServiceFault(line, ScenarioFaultKind::Slow); }
+    void readLoseAnswers(LineReader& line) { readServiceFault(line, ScenarioFaultKind::LoseAnswers); }
+    void readReject(LineReader& line) { readServiceFault(line, ScenarioFaultKind::Reject); }
     void readLose(LineReader& line) { readServiceFault(line, ScenarioFaultKind::Lose); }
     void readDrain(LineReader& line) { readServiceFault(line, ScenarioFaultKind::Drain); }
 
@@ -197,7 +199,7 @@
             line.fail("a service that is defined above");
         expect(line, "share");
         fault.share = line.number("a share of the VMs");
-        if (kind == ScenarioFaultKind::Slow) {
+        if (kind != ScenarioFaultKind::Lose && kind != ScenarioFaultKind::Drain) {
             expect(line, "factor");
             fault.factor = line.number("a factor");
         }
@@ -257,6 +259,8 @@
         Statement { "teams", &Parser::readTeams },
         Statement { "load", &Parser::readLoad },
         Statement { "slow", &Parser::readSlow },
+        Statement { "lose-answers", &Parser::readLoseAnswers },
+        Statement { "reject", &Parser::readReject },
         Statement { "lose", &Parser::readLose },
         Statement { "drain", &Parser::readDrain },
         Statement { "hot-team", &Parser::readHotTeam },
--- a/tools/lab/SimulatedCallers.cpp
+++ b/tools/lab/SimulatedCallers.cpp
@@ -141,6 +141,7 @@
         sent.head.fields.add(adapter.fieldNames().requestId,
             "c" + std::to_string(request->id) + '-' + std::to_string(attempt));
         sent.head.fields.add(adapter.fieldNames().apiKey, "Bearer " + teamApiKey(request->team));
+        m_fleet.recordRequest(request->kind->name);
         const CallId call = receiver->entry().begin(
             std::move(sent), [this, request, attempt](HttpResponse response) {
                 m_fleet.clock().after(callerDelay, [this, request, attempt, response = std::move(response)] {
--- a/tools/lab/SimulatedFleet.cpp
+++ b/tools/lab/SimulatedFleet.cpp
@@ -27,6 +27,18 @@
 /// The rate of the k-th largest team is proportional to k to the power of minus this.
 constexpr double teamSizeExponent = 0.7;
 
+/// Sets the strength of a fault of upstreams; `neutral` ends it.
+struct UpstreamFault {
+    void (SimulatedUpstream::*set)(double);
+    double neutral;
+};
+
+const std::map<ScenarioFaultKind, UpstreamFault> upstreamFaults {
+    { ScenarioFaultKind::Slow, { &SimulatedUpstream::setSlowdown, 1 } },
+    { ScenarioFaultKind::LoseAnswers, { &SimulatedUpstream::setLostShare, 0 } },
+    { ScenarioFaultKind::Reject, { &SimulatedUpstream::setRejectedShare, 0 } },
+};
+
 DataCentre dataCentreOf(int index) { return { "dc" + std::to_string(index) }; }
 
 ServingConfig makeConfig(const LoadScenario& scenario)
@@ -217,9 +229,10 @@
     if (fault.kind == ScenarioFaultKind::HotTeam)
         return; // SimulatedCallers applies the factor
     const std::vector<VmId> vms = selectVms(fault);
+    const auto upstreamFault = upstreamFaults.find(fault.kind);
     for (const VmId& vm : vms) {
-        if (fault.kind == ScenarioFaultKind::Slow)
-            find(vm)->upstream().setSlowdown(fault.factor);
+        if (upstreamFault != upstreamFaults.end())
+            (find(vm)->upstream().*upstreamFault->second.set)(fault.factor);
         else if (fault.kind == ScenarioFaultKind::Lose)
             loseVm(vm);
         else
@@ -227,12 +240,12 @@
     }
     if (!fault.until)
         return;
-    m_clock.after(*fault.until - fault.from, [this, fault, vms] {
-        if (fault.kind != ScenarioFaultKind::Slow)
+    m_clock.after(*fault.until - fault.from, [this, fault, vms, upstreamFault] {
+        if (upstreamFault == upstreamFaults.end())
             return startReplacements(fault.service, vms.size());
         for (const VmId& vm : vms) {
             if (SimulatedNode* node = find(vm))
-                node->upstream().setSlowdown(1);
+                (node->upstream().*upstreamFault->second.set)(upstreamFault->second.neutral);
         }
     });
 }
--- a/tools/lab/SimulatedFleet.h
+++ b/tools/lab/SimulatedFleet.h
@@ -22,6 +22,12 @@
     std::shared_ptr<const ServingIndex> config() const { return m_config; }
     UpstreamCounters& counters(const ServiceName& service) { return m_counters[service]; }
     const std::map<ServiceName, UpstreamCounters>& allCounters() const { return m_counters; }
+    RetryUse& retryUse() { return m_retryUse; }
+    /// Counts a request of a kind that a caller, or a run that is no repeat, sends now.
+    void recordRequest(const RouteId& kind)
+    {
+        m_retryUse.recordRequest(m_scenario.findKind(kind)->service, m_clock.now());
+    }
 
     bool isUp(const VmId& vm) const { return m_nodes.contains(vm); }
     /// Calls `callback` with node `to` after the delay of a message, unless `to` has ended or was restarted
@@ -59,6 +65,7 @@
     SimulationClock m_clock;
     std::shared_ptr<const ServingIndex> m_config;
     std::map<ServiceName, UpstreamCounters> m_counters;
+    RetryUse m_retryUse;
     std::map<VmId, std::unique_ptr<SimulatedNode>> m_nodes;
     // Ended nodes stay allocated, since pending callbacks still refer to them.
     std::vector<std::unique_ptr<SimulatedNode>> m_stoppedNodes;
--- a/tools/lab/SimulatedNode.cpp
+++ b/tools/lab/SimulatedNode.cpp
@@ -25,9 +25,10 @@
     , m_origin { m_spec.record.vm, seed | 1 }
     , m_state(fleet.io(), settingsOf(m_spec), m_adapter, seed)
     , m_upstream(std::make_shared<SimulatedUpstream>(fleet.clock(), fleet.scenario(), m_spec.record.slots,
-          m_spec.speed, seed + 1, fleet.counters(m_spec.record.service),
-          [this](const RouteId& callee, Duration remainingTime, std::function<void(std::uint16_t)> done) {
-              return makeNestedCall(callee, remainingTime, std::move(done));
+          m_spec.speed, seed + 1, fleet.counters(m_spec.record.service), fleet.retryUse(),
+          [this](const RouteId& callee, bool ofRepeat, Duration remainingTime,
+              std::function<void(std::uint16_t)> done) {
+              return makeNestedCall(callee, ofRepeat, remainingTime, std::move(done));
           }))
     , m_hop(m_state, *m_upstream,
           [this](const HopOrigin& origin, HopResponse response) {
@@ -87,11 +88,15 @@
 }
 
 std::function<void()> SimulatedNode::makeNestedCall(
-    const RouteId& callee, Duration remainingTime, std::function<void(std::uint16_t)> done)
+    const RouteId& callee, bool ofRepeat, Duration remainingTime, std::function<void(std::uint16_t)> done)
 {
     HttpRequest request = m_fleet.makeRequest(callee, remainingTime);
-    request.head.fields.add(
-        m_adapter.fieldNames().requestId, m_origin.vm.text + '-' + std::to_string(++m_nestedCallCount));
+    const std::string id = m_origin.vm.text + '-' + std::to_string(++m_nestedCallCount);
+    request.head.fields.add(m_adapter.fieldNames().requestId, id);
+    if (ofRepeat)
+        m_fleet.retryUse().recordCallOfRepeat(id);
+    else
+        m_fleet.recordRequest(callee);
     const CallId call = m_entry.begin(std::move(request),
         [done = std::move(done)](const HttpResponse& response) { done(response.head.status); });
     return [this, call] { m_entry.cancel(call); };
--- a/tools/lab/SimulatedNode.h
+++ b/tools/lab/SimulatedNode.h
@@ -55,7 +55,7 @@
 
 private:
     std::function<void()> makeNestedCall(
-        const RouteId&, Duration remainingTime, std::function<void(std::uint16_t)> done);
+        const RouteId&, bool ofRepeat, Duration remainingTime, std::function<void(std::uint16_t)> done);
 
     SimulatedFleet& m_fleet;
     const NodeSpec m_spec;
--- a/tools/lab/SimulatedUpstream.cpp
+++ b/tools/lab/SimulatedUpstream.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 SimulatedUpstream::SimulatedUpstream(SimulationClock& clock, const LoadScenario& scenario,
-    std::uint32_t slots, double speed, std::uint64_t seed, UpstreamCounters& counters,
+    std::uint32_t slots, double speed, std::uint64_t seed, UpstreamCounters& counters, RetryUse& retryUse,
     MakeNestedCall makeNestedCall)
     : m_clock(clock)
     , m_scenario(scenario)
@@ -35,6 +35,7 @@
     , m_speed(speed)
     , m_random(seed)
     , m_counters(counters)
+    , m_retryUse(retryUse)
     , m_makeNestedCall(std::move(makeNestedCall))
 {
 }
@@ -54,24 +55,31 @@
     execution->deadline = m_clock.now() + std::chrono::milliseconds(std::stoll(std::string(remainingMs)));
     m_executions[execution->exchange] = execution;
     ++m_counters.arrivals;
+    execution->isRepeat = m_retryUse.recordArrival(execution->kind->service, execution->id, m_clock.now());
     m_clock.after(execution->deadline - m_clock.now(), [weak = weak_from_this(), execution] {
         if (const auto self = weak.lock())
             self->finish(execution, statusTimeout);
     });
-    if (m_running < m_slots)
+    if (occurs(m_rejectedShare))
+        reject(execution);
+    else if (m_running < m_slots)
         start(execution);
     else if (m_waiting.size() < maxQueueLength)
         m_waiting.push_back(execution);
-    else {
-        ++m_counters.shed;
-        m_clock.after(shedResponseDelay, [weak = weak_from_this(), execution] {
-            if (const auto self = weak.lock())
-                self->respond(execution, statusShed, true);
-        });
-    }
+    else
+        reject(execution);
     return execution->exchange;
 }
 
+void SimulatedUpstream::reject(const ExecutionPtr& execution)
+{
+    ++m_counters.shed;
+    m_clock.after(shedResponseDelay, [weak = weak_from_this(), execution] {
+        if (const auto self = weak.lock())
+            self->respond(execution, statusShed, true);
+    });
+}
+
 void SimulatedUpstream::abort(ExchangeId exchange)
 {
     const auto found = m_executions.find(exchange);
@@ -104,7 +112,7 @@
     if (execution->callIndex == calls.size())
         return finish(execution, statusOk);
     ++execution->callsMade;
-    execution->cancelCall = m_makeNestedCall(calls[execution->callIndex].callee,
+    execution->cancelCall = m_makeNestedCall(calls[execution->callIndex].callee, execution->isRepeat,
         execution->deadline - m_clock.now(), [weak = weak_from_this(), execution](std::uint16_t status) {
             const auto self = weak.lock();
             if (!self || execution->ended)
@@ -132,6 +140,11 @@
     release(execution, status != statusOk);
     const SimplePlatformAdapter adapter;
     UpstreamResult result;
+    if (!notRun && occurs(m_lostShare)) {
+        if (done)
+            done({ UpstreamResult::Kind::Lost, {}, true, true });
+        return;
+    }
     result.kind = UpstreamResult::Kind::Responded;
     result.response.head.status = status;
     result.response.head.fields.add(adapter.fieldNames().requestId, execution->id);
--- a/tools/lab/SimulatedUpstream.h
+++ b/tools/lab/SimulatedUpstream.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "lab/LoadScenario.h"
+#include "lab/RetryUse.h"
 #include "lab/SimulationClock.h"
 #include "state/RandomSource.h"
 #include "transport/UpstreamTransport.h"
@@ -25,19 +26,24 @@
 
 class SimulatedUpstream : public UpstreamTransport, public std::enable_shared_from_this<SimulatedUpstream> {
 public:
-    /// Sends a nested call to another service; returns a function that cancels the call.
-    using MakeNestedCall = std::function<std::function<void()>(
-        const RouteId&, Duration remainingTime, std::function<void(std::uint16_t status)> done)>;
+    /// Sends a nested call to another service; returns a function that cancels the call. `ofRepeat`: the run
+    /// that makes the call is a repeat.
+    using MakeNestedCall = std::function<std::function<void()>(const RouteId&, bool ofRepeat,
+        Duration remainingTime, std::function<void(std::uint16_t status)> done)>;
 
     /// All references must outlive the upstream.
     SimulatedUpstream(SimulationClock&, const LoadScenario&, std::uint32_t slots, double speed,
-        std::uint64_t seed, UpstreamCounters&, MakeNestedCall makeNestedCall);
+        std::uint64_t seed, UpstreamCounters&, RetryUse&, MakeNestedCall makeNestedCall);
 
     ExchangeId send(UpstreamRequest, Callback done) override;
     void abort(ExchangeId) override;
 
     /// Makes work that starts from now on take `factor` times as long.
     void setSlowdown(double factor) { m_slowdown = factor; }
+    /// Sets the share of the responses of ended runs that are lost with their connection.
+    void setLostShare(double share) { m_lostShare = share; }
+    /// Sets the share of the requests that are rejected without being run.
+    void setRejectedShare(double share) { m_rejectedShare = share; }
     /// Makes work slower for `coldDuration` from now, as after a start of the upstream.
     void startCold() { m_coldUntil = m_clock.now() + coldDuration; }
 
@@ -54,12 +60,15 @@
         std::size_t callIndex { 0 }; // index into the kind's calls
         int callsMade { 0 }; // of the call at callIndex
         std::function<void()> cancelCall;
+        bool isRepeat { false };
         bool started { false };
         bool ended { false };
     };
     using ExecutionPtr = std::shared_ptr<Execution>;
 
     void start(const ExecutionPtr&);
+    void reject(const ExecutionPtr&);
+    bool occurs(double share) { return share > 0 && m_random.uniform() < share; }
     void startNextCall(const ExecutionPtr&);
     void finish(const ExecutionPtr&, std::uint16_t status);
     void respond(const ExecutionPtr&, std::uint16_t status, bool notRun);
@@ -72,8 +81,11 @@
     const double m_speed;
     RandomSource m_random;
     UpstreamCounters& m_counters;
+    RetryUse& m_retryUse;
     MakeNestedCall m_makeNestedCall;
     double m_slowdown { 1 };
+    double m_lostShare { 0 };
+    double m_rejectedShare { 0 };
     Instant m_coldUntil;
     std::unordered_map<ExchangeId, ExecutionPtr> m_executions; // running, queued or being rejected
     std::deque<ExecutionPtr> m_waiting;
--- a/tools/lab/SimulationRun.cpp
+++ b/tools/lab/SimulationRun.cpp
@@ -160,6 +160,7 @@
     result.measures["upstream-sheds"] = upstreamTotals.arrivals > 0
         ? static_cast<double>(upstreamTotals.shed) / static_cast<double>(upstreamTotals.arrivals)
         : 0;
+    result.measures["retry-use"] = fleet.retryUse().maxUse(RetryLimits());
     result.measures["plan-refusals"] = planRefusalShare(outcomes, hotTeam);
     result.measures["others-refused"] = planRefusalShare(outcomes, hotTeam + 1);
     result.measures["recovery"] = recoverySeconds(scenario, outcomes);
--- a/tools/lab/SimulationRun.h
+++ b/tools/lab/SimulationRun.h
@@ -27,9 +27,9 @@
 
 struct SimulationResult {
     std::map<RouteId, KindResult> kinds;
-    /// "worth", "bound-share", "served", "worst-team", "wasted", "upstream-sheds", "plan-refusals",
-    /// "others-refused", "recovery", "cut"; and "worth KIND" and "served KIND" for each kind.
-    /// docs/SCENARIOS.md describes them.
+    /// "worth", "bound-share", "served", "worst-team", "wasted", "upstream-sheds", "retry-use",
+    /// "plan-refusals", "others-refused", "recovery", "cut"; and "worth KIND" and "served KIND" for each
+    /// kind. docs/SCENARIOS.md describes them.
     std::map<std::string, double> measures;
 
     auto operator<=>(const SimulationResult&) const = default;
