Limit repeats at the upstream's node, with all levels of a call tree in one account

Cause: each sending node charged a retry to the service it sent to, and to none of the services that the repeated run calls again. A lookup that runs again arrives 10 times at pressroom. The part of the ratio per level allowed for four levels; the extra retries and the retries that nodes saved up (6 a node and service, 96 over 16 nodes) were multiplied by the fan-out.

Why this works: the node beside an upstream sees all its arrivals, so the nodes of a service keep the limit together without a shared account, in the operator's own sliding window. Requests carry the probability that their arrival is a repeat, so calls of repeated runs count at the service that gets them. Runs with nested calls are limited to a share of the runs of their own route; repeated runs make the same calls as others, so that share doesn't grow with the fan-out or the depth of the tree. The extra retries of such a route are divided by its calls per run, which responses now report.

The property over random call trees fails on the old code and passes 300 cases. The tests of the old budget per sending node are replaced by those at the upstream's node; its property now also covers restarts and the operator's three windows.

--- a/src/coordination/CallCosts.cpp
+++ b/src/coordination/CallCosts.cpp
@@ -29,6 +29,11 @@
     local.runningRepeats += repeatShare;
 }
 
+void CallCosts::requestRepeated(const RouteId& route, double repeatShare)
+{
+    m_localRoutes[route].runningRepeats += 1 - repeatShare;
+}
+
 void CallCosts::requestEnded(const RouteId& route, Duration serviceTime, bool executed, double repeatShare)
 {
     LocalRoute& local = m_localRoutes[route];
@@ -68,10 +73,20 @@
 }
 
 void CallCosts::updateReportedCost(const RouteId& route, const CostVector& reported)
+{
+    updateReport(m_reported, route, reported);
+}
+
+void CallCosts::updateReportedArrivals(const RouteId& route, const CostVector& reported)
+{
+    updateReport(m_reportedArrivals, route, reported);
+}
+
+void CallCosts::updateReport(Reports& reports, const RouteId& route, const CostVector& reported)
 {
     if (reported.empty())
         return;
-    CostVector& known = m_reported[route];
+    CostVector& known = reports[route];
     if (known.empty()) {
         known = reported;
         return;
@@ -93,10 +108,45 @@
     const auto found = m_localRoutes.find(route);
     if (found == m_localRoutes.end() || found->second.completed < minCompletedRequests)
         return costs;
-    const LocalRoute& local = found->second;
-    costs[m_localService] = local.serviceSeconds / local.completed;
+    costs = sumOverCalls(found->second, m_reported);
+    costs[m_localService] += found->second.serviceSeconds / found->second.completed;
+    return costs;
+}
+
+CostVector CallCosts::localArrivals(const RouteId& route) const
+{
+    CostVector arrivals;
+    const auto found = m_localRoutes.find(route);
+    if (found == m_localRoutes.end() || found->second.completed < minCompletedRequests)
+        return arrivals;
+    arrivals = sumOverCalls(found->second, m_reportedArrivals);
+    arrivals[m_localService] += 1;
+    return arrivals;
+}
+
+double CallCosts::maxCallsPerRun(const RouteId& route, double fallback) const
+{
+    const auto found = m_localRoutes.find(route);
+    if (found == m_localRoutes.end() || found->second.completed < minCompletedRequests)
+        return fallback;
+    double maxCalls = 0;
+    for (const auto& [callee, calls] : found->second.calls) {
+        const double callsPerRun = calls / found->second.completed;
+        if (callsPerRun > minCallsPerRequest)
+            maxCalls = std::max(maxCalls, callsPerRun);
+    }
+    for (const auto& [service, arrivals] : sumOverCalls(found->second, m_reportedArrivals)) {
+        if (arrivals > minCallsPerRequest)
+            maxCalls = std::max(maxCalls, arrivals);
+    }
+    return maxCalls;
+}
+
+CostVector CallCosts::sumOverCalls(const LocalRoute& local, const Reports& reports) const
+{
+    CostVector costs;
     for (const auto& [callee, calls] : local.calls) {
-        for (const auto& [service, cost] : reportedCost(callee))
+        for (const auto& [service, cost] : findReport(reports, callee))
             costs[service] += calls / local.completed * cost;
     }
     return costs;
@@ -104,8 +154,13 @@
 
 const CostVector& CallCosts::reportedCost(const RouteId& route) const
 {
-    const auto found = m_reported.find(route);
-    return found == m_reported.end() ? noCosts : found->second;
+    return findReport(m_reported, route);
+}
+
+const CostVector& CallCosts::findReport(const Reports& reports, const RouteId& route)
+{
+    const auto found = reports.find(route);
+    return found == reports.end() ? noCosts : found->second;
 }
 
 Duration CallCosts::meanServiceTime(const RouteId& route, Duration fallback) const
--- a/src/coordination/RetryBudget.cpp
+++ b/src/coordination/RetryBudget.cpp
@@ -1,4 +1,4 @@
-// Keeps one budget per service.
+// One window for all arrivals at the upstream, and one for the runs of each route.
 #include "coordination/RetryBudget.h"
 
 #include <algorithm>
@@ -6,54 +6,88 @@
 namespace Ebonystack {
 namespace {
 
-/// Share of the operator's ratio that one level of a call tree may spend. The retry of a request makes all
-/// its nested calls again, so the retries of all levels add up at the deepest service.
-constexpr double ratioSharePerLevel = 0.22;
-/// Share of the extra retries that the nodes use. The rest covers requests that upstreams count and nodes
-/// don't, and windows in which the budget is filled twice.
-constexpr double usableExtraShare = 0.4;
-constexpr double maxUnusedRetries = 6;
+/// Shares of the operator's limits up to which repeats are sent. The rest covers calls of repeated runs, of
+/// which only the expected number is known, and a number of upstreams that nodes see differently for a
+/// moment.
+constexpr double usableRatioShare = 0.85;
+constexpr double usableExtraShare = 0.3;
+/// The same for routes with nested calls. What they leave of the ratio is for repeats at the services that
+/// they call, where a repeat costs least.
+constexpr double nestingRatioShare = 0.65;
+constexpr double nestingExtraShare = 0.05;
+/// Weight of the calls of repeated runs in the limit on runs. With a weight of 1, nodes that happen to get
+/// few of them would fill up to the limit, and the share of repeats would grow with each level of a call
+/// tree.
+constexpr double inducedRepeatWeight = 2;
 
 } // namespace
 
 RetryBudget::RetryBudget(const RetryLimits& limits)
     : m_limits(limits)
+    , m_arrivals(limits.window)
 {
-    setNodeCount(1);
 }
 
-void RetryBudget::setNodeCount(std::size_t count)
+void RetryBudget::setUpstreamCount(std::size_t count)
 {
-    m_extraRetriesPerNode
-        = usableExtraShare * m_limits.extraRetries / static_cast<double>(std::max<std::size_t>(count, 1));
+    m_upstreamCount = static_cast<double>(std::max<std::size_t>(count, 1));
 }
 
-void RetryBudget::recordFirstAttempt(const ServiceName& service, Instant now)
+void RetryBudget::recordFirstAttempt(const RouteId& route, double repeatShare, Instant now)
 {
-    ServiceBudget& serviceBudget = refill(service, now);
-    serviceBudget.retries
-        = std::min(maxUnusedRetries, serviceBudget.retries + ratioSharePerLevel * m_limits.ratio);
+    if (!m_firstUseAt)
+        m_firstUseAt = now;
+    m_arrivals.add(1 - repeatShare, repeatShare, now);
+    runsOf(route).add(1 - repeatShare, inducedRepeatWeight * repeatShare, now);
 }
 
-bool RetryBudget::spend(const ServiceName& service, Instant now)
+bool RetryBudget::takeRepeat(const RouteId& route, double callsPerRun, Instant now)
 {
-    ServiceBudget& serviceBudget = refill(service, now);
-    if (serviceBudget.retries < 1)
+    if (!m_firstUseAt)
+        m_firstUseAt = now;
+    RetryWindow& runs = runsOf(route);
+    const double extra = extraRetries(now);
+    const WindowLimit arrivalLimit { usableRatioShare * m_limits.ratio, usableExtraShare * extra };
+    if (!m_arrivals.allowsRepeat(arrivalLimit, now))
         return false;
-    serviceBudget.retries -= 1;
+    if (callsPerRun > 0) {
+        const WindowLimit runLimit { nestingRatioShare * m_limits.ratio,
+            nestingExtraShare * extra / std::max(callsPerRun, 1.0) };
+        if (!runs.allowsRepeat(runLimit, now))
+            return false;
+    }
+    m_arrivals.add(0, 1, now);
+    runs.add(0, 1, now);
     return true;
 }
 
-RetryBudget::ServiceBudget& RetryBudget::refill(const ServiceName& service, Instant now)
+void RetryBudget::returnRepeat(const RouteId& route, Instant takenAt)
 {
-    const auto [found, isNew]
-        = m_serviceBudgets.try_emplace(service, ServiceBudget { std::min(1.0, m_extraRetriesPerNode), now });
-    ServiceBudget& serviceBudget = found->second;
-    const double elapsed = toSeconds(now - serviceBudget.refilledAt) / toSeconds(m_limits.window);
-    serviceBudget.retries = std::min(std::max(maxUnusedRetries, serviceBudget.retries),
-        serviceBudget.retries + m_extraRetriesPerNode * elapsed);
-    serviceBudget.refilledAt = now;
-    return serviceBudget;
+    m_arrivals.add(0, -1, takenAt);
+    recordNotRun(route, 1, takenAt);
+}
+
+void RetryBudget::recordNotRun(const RouteId& route, double repeatShare, Instant sentAt)
+{
+    const double weight = repeatShare < 1 ? inducedRepeatWeight : 1;
+    runsOf(route).add(repeatShare - 1, -weight * repeatShare, sentAt);
+}
+
+void RetryBudget::removeIdleRoutes(Instant now)
+{
+    std::erase_if(m_runs, [now](const auto& item) { return item.second.isIdle(now); });
+}
+
+RetryWindow& RetryBudget::runsOf(const RouteId& route)
+{
+    return m_runs.try_emplace(route, m_limits.window).first->second;
+}
+
+double RetryBudget::extraRetries(Instant now) const
+{
+    // A node that has just started may have sent retries before it ended. It gets its part over one window.
+    const double age = std::clamp(toSeconds(now - *m_firstUseAt) / toSeconds(m_limits.window), 0.0, 1.0);
+    return m_limits.extraRetries * age / m_upstreamCount;
 }
 
 } // namespace Ebonystack
--- /dev/null
+++ b/src/coordination/RetryWindow.h
@@ -0,0 +1,56 @@
+// Counts first attempts and repeats in a sliding window, and tells whether one more repeat stays within a
+// limit in every window that contains it. The limit is the operator's: a part of the first attempts plus a
+// constant. Counts of several nodes can be added: if each node stays within its limit, the sum of their
+// repeats stays within the sum of the limits.
+#pragma once
+
+#include "state/Time.h"
+
+#include <array>
+#include <compare>
+#include <cstdint>
+
+namespace Ebonystack {
+
+/// The repeats that one window may have: `ratio` of its first attempts plus `extra`.
+struct WindowLimit {
+    double ratio { 0 };
+    double extra { 0 };
+
+    auto operator<=>(const WindowLimit&) const = default;
+};
+
+/// Not thread-safe. Amounts may be fractions: the probability that an attempt is a repeat.
+class RetryWindow {
+public:
+    explicit RetryWindow(Duration window)
+        : m_bucketLength(window / bucketsPerWindow)
+    {
+    }
+
+    void add(double firstAttempts, double repeats, Instant);
+    /// Whether one more repeat at `now` stays within the limit.
+    bool allowsRepeat(const WindowLimit&, Instant now) const;
+    /// Whether nothing that was added matters any more.
+    bool isIdle(Instant now) const { return indexOf(now) - m_lastIndex > bucketCount; }
+
+private:
+    static constexpr std::int64_t bucketsPerWindow = 20;
+    static constexpr std::int64_t bucketCount = 2 * bucketsPerWindow + 1;
+
+    struct Bucket {
+        std::int64_t index { -1 }; // the number of its time interval
+        double firstAttempts { 0 };
+        double repeats { 0 };
+    };
+
+    std::int64_t indexOf(Instant at) const { return at.time_since_epoch() / m_bucketLength; }
+    /// The sum over the buckets from `first` to `last`, both included.
+    double sum(double Bucket::*amount, std::int64_t first, std::int64_t last) const;
+
+    Duration m_bucketLength;
+    std::int64_t m_lastIndex { -1 }; // of the newest bucket
+    std::array<Bucket, bucketCount> m_buckets; // that of index i at position i modulo bucketCount
+};
+
+} // namespace Ebonystack
--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -113,16 +113,29 @@
         frame.repeatShare });
 }
 
-Json encode(const HopResponse& frame)
+Json encodeCosts(const CostVector& costs)
 {
-    Json costs = Json::array();
-    for (const auto& [service, cost] : frame.costs) {
-        costs.push_back(service.text);
-        costs.push_back(cost);
+    Json array = Json::array();
+    for (const auto& [service, cost] : costs) {
+        array.push_back(service.text);
+        array.push_back(cost);
     }
+    return array;
+}
+
+CostVector decodeCosts(const Json& array)
+{
+    CostVector costs;
+    for (std::size_t i = 0; i + 1 < array.size(); i += 2)
+        costs[{ array[i].get<std::string>() }] = array[i + 1].get<double>();
+    return costs;
+}
+
+Json encode(const HopResponse& frame)
+{
     return Json::array({ frame.number, frame.outcome, frame.reason, frame.reachedUpstream, frame.status,
-        encodeFields(frame.fields), encodeBytes(frame.body), encodeLoad(frame.load), std::move(costs),
-        frame.gateWait.count() });
+        encodeFields(frame.fields), encodeBytes(frame.body), encodeLoad(frame.load), encodeCosts(frame.costs),
+        frame.gateWait.count(), encodeCosts(frame.arrivals) });
 }
 
 Json encode(const HopCancel& frame) { return Json::array({ frame.number }); }
@@ -188,11 +201,11 @@
 PeerFrame decodeResponse(const Json& json)
 {
     HopResponse response { json.at(0), decodeEnum(json.at(1), HopOutcome::OutcomeUnknown),
-        decodeEnum(json.at(2), HopReason::NoResponse), json.at(3), json.at(4), decodeFields(json.at(5)),
-        decodeBytes(json.at(6)), decodeLoad(json.at(7)), {}, decodeDuration(json.at(9)) };
-    const Json& costs = json.at(8);
-    for (std::size_t i = 0; i + 1 < costs.size(); i += 2)
-        response.costs[{ costs[i].get<std::string>() }] = costs[i + 1].get<double>();
+        decodeEnum(json.at(2), HopReason::RetryBudgetSpent), json.at(3), json.at(4), decodeFields(json.at(5)),
+        decodeBytes(json.at(6)), decodeLoad(json.at(7)), decodeCosts(json.at(8)), decodeDuration(json.at(9)),
+        {} };
+    if (json.size() > 10)
+        response.arrivals = decodeCosts(json.at(10));
     return response;
 }
 
@@ -291,7 +304,7 @@
 {
     constexpr auto names = std::to_array<std::string_view>({ "none", "gate full", "upstream shed",
         "wrong instance", "upstream down", "upstream draining", "answer invalid", "connection lost",
-        "too late", "node leaving", "unknown request", "no response" });
+        "too late", "node leaving", "unknown request", "no response", "retry budget spent" });
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/src/protocol/PeerFrame.h
+++ b/src/protocol/PeerFrame.h
@@ -85,6 +85,7 @@
     NodeLeaving, ///< the node would shut down before the request's deadline
     UnknownRequest, ///< the node has no record of having received the request
     NoResponse, ///< the upstream did not respond before the deadline
+    RetryBudgetSpent, ///< another repeat would exceed the operator's limit on retries
 };
 
 struct HopResponse {
@@ -98,6 +99,7 @@
     UpstreamLoad load;
     CostVector costs; ///< costs of the request's route
     Duration gateWait { 0 }; ///< time from arrival at the gate to the start or the rejection
+    CostVector arrivals; ///< at each service, of a run of the request's route; optional on the wire
 
     auto operator<=>(const HopResponse&) const = default;
 };
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -306,8 +306,6 @@
         call->hopVm = vm;
         ++call->dispatches;
         callsByHop[request.number] = call->id;
-        if (call->upstreamAttempts == 0)
-            state.retryBudget.recordFirstAttempt(call->service, now);
         state.upstreamSelector.requestStarted(vm);
         armTimer(call);
         state.log.request("sent to upstream", call->requestId, now, [&] {
@@ -384,6 +382,7 @@
             return;
         call->hopNumber = 0;
         state.costs.updateReportedCost(call->route->id, response.costs);
+        state.costs.updateReportedArrivals(call->route->id, response.arrivals);
         state.upstreamSelector.requestEnded(vm, isFailure(response), now);
         if (response.reachedUpstream)
             ++call->upstreamAttempts;
@@ -424,13 +423,10 @@
     {
         call->triedVms.push_back(vm);
         const Instant now = state.now();
-        const bool mayDispatchAgain = now < call->deadline && call->dispatches < maxDispatches;
-        // A request that an upstream received and rejected loads the next upstream too, so sending it again
-        // is limited like a retry.
-        const bool withinRetryBudget = !response.reachedUpstream
-            || (call->upstreamAttempts < call->route->maxAttempts
-                && state.retryBudget.spend(call->service, now));
-        if (mayDispatchAgain && withinRetryBudget)
+        const bool mayDispatchAgain = now < call->deadline && call->dispatches < maxDispatches
+            && response.reason != HopReason::RetryBudgetSpent
+            && (!response.reachedUpstream || call->upstreamAttempts < call->route->maxAttempts);
+        if (mayDispatchAgain)
             return dispatch(call);
         failCall(call, std::string("the request did not run: ") + std::string(describe(response.reason)));
     }
@@ -442,14 +438,14 @@
         failCall(call, reason);
     }
 
-    /// Whether a request that may have run can be retried at another upstream. Spends from the retry budget.
+    /// Whether a request that may have run can be retried at another upstream. The node beside that upstream
+    /// rejects it when the retry budget is spent.
     bool mayRetry(const Call& call)
     {
         const Instant now = state.now();
         const Duration expectedServiceTime = state.costs.meanServiceTime(call.route->id, Duration::zero());
         return call.route->idempotent && call.upstreamAttempts < call.route->maxAttempts
-            && call.dispatches < maxDispatches && now + expectedServiceTime < call.deadline
-            && state.retryBudget.spend(call.service, now);
+            && call.dispatches < maxDispatches && now + expectedServiceTime < call.deadline;
     }
 
     void retry(const CallPtr& call, const VmId& vm, std::string_view reason)
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -46,6 +46,7 @@
         HopRequest request;
         Instant arrivedAt;
         Instant startedAt;
+        Instant attemptedAt; // when the retry budget counted the last attempt
         Instant deadline;
         GateTicket ticket { 0 };
         ExchangeId exchange { 0 }; // 0 while it waits at the gate
@@ -97,6 +98,8 @@
         const Instant latestStart = job->deadline - expectedServiceTime;
         const Duration maxWait = fromSeconds(toSeconds(job->request.remainingTime) * gateWaitShare);
         const Instant maxWaitEnd = now + std::min(maxWait, job->request.maxGateWait);
+        if (isRepeat(*job) && !takeRepeat(*job, now))
+            return finishNotRun(job, HopReason::RetryBudgetSpent);
         if (!job->request.isRedispatch)
             ++arrivals;
         const GateDecision decision
@@ -108,6 +111,27 @@
             startJob(job->ticket, now);
     }
 
+    /// The probability that the last arrival of the job's request at the upstream is a repeat.
+    static double repeatShareOf(const Job& job) { return job.resent ? 1 : job.request.repeatShare; }
+    static bool isRepeat(const Job& job) { return repeatShareOf(job) >= 1; }
+
+    /// Takes a repeat from the retry budget; false when it is spent.
+    bool takeRepeat(Job& job, Instant now)
+    {
+        const RouteId& route = job.request.route;
+        if (!state.retryBudget.takeRepeat(route, state.costs.maxCallsPerRun(route, 1), now))
+            return false;
+        job.attemptedAt = now;
+        return true;
+    }
+
+    /// Returns the repeat of a job that ends before it was sent to the upstream.
+    void returnRepeat(const Job& job)
+    {
+        if (isRepeat(job) && job.attemptedAt >= job.arrivedAt)
+            state.retryBudget.returnRepeat(job.request.route, job.attemptedAt);
+    }
+
     void startJob(GateTicket ticket, Instant now)
     {
         const auto found = waiting.find(ticket);
@@ -155,7 +179,7 @@
             state.timers.cancel(*job->timeout);
         job->timeout.reset();
         const Duration serviceTime = now - job->startedAt;
-        state.costs.requestEnded(job->request.route, serviceTime, hasRun, job->request.repeatShare);
+        state.costs.requestEnded(job->request.route, serviceTime, hasRun, repeatShareOf(*job));
         startJobs(gate.depart(serviceTime, now), now);
     }
 
@@ -168,7 +192,7 @@
     void send(const JobPtr& job, Instant now)
     {
         const HopRequest& request = job->request;
-        countArrival(*job);
+        countArrival(*job, now);
         RequestHead head;
         head.method = request.method;
         head.target = request.target;
@@ -184,13 +208,15 @@
             });
     }
 
-    void countArrival(const Job& job)
+    void countArrival(Job& job, Instant now)
     {
-        if (job.resent || job.request.repeatShare >= 1) {
+        if (isRepeat(job)) {
             ++state.counters.repeatArrivals;
             return;
         }
         ++state.counters.firstArrivals;
+        job.attemptedAt = now;
+        state.retryBudget.recordFirstAttempt(job.request.route, job.request.repeatShare, now);
         state.counters.arrivalsOfRepeatedRuns += job.request.repeatShare;
     }
 
@@ -200,6 +226,7 @@
         if (result.kind != UpstreamResult::Kind::NotConnected)
             job->reachedUpstream = true;
         if (mayResend(*job, result, now)) {
+            state.costs.requestRepeated(job->request.route, repeatShareOf(*job));
             job->resent = true;
             ++state.counters.retries;
             state.log.request("sent again to the upstream", job->id, now, [&] {
@@ -208,16 +235,27 @@
             });
             return send(job, now);
         }
-        endAtUpstream(job, makeResponse(*job, std::move(result), now), now);
+        HopResponse response = makeResponse(*job, std::move(result), now);
+        if (response.outcome == HopOutcome::NotRun)
+            recordNotRun(*job);
+        endAtUpstream(job, std::move(response), now);
+    }
+
+    /// Corrects the retry budget for a request that the upstream rejected or that did not reach it.
+    void recordNotRun(const Job& job)
+    {
+        if (!job.reachedUpstream && isRepeat(job))
+            return returnRepeat(job);
+        state.retryBudget.recordNotRun(job.request.route, repeatShareOf(job), job.attemptedAt);
     }
 
-    /// Whether a request that was lost on a reused connection is sent again on another. Spends from the retry
-    /// budget.
-    bool mayResend(const Job& job, const UpstreamResult& result, Instant now)
+    /// Whether a request that was lost on a reused connection is sent again on another. Takes a repeat from
+    /// the retry budget.
+    bool mayResend(Job& job, const UpstreamResult& result, Instant now)
     {
         return result.kind == UpstreamResult::Kind::Lost && result.nothingReceived && result.reused
             && !job.resent && job.request.idempotent && job.deadline - now > minTimeToRun
-            && state.retryBudget.spend(state.settings.service, now);
+            && takeRepeat(job, now);
     }
 
     HopResponse makeResponse(const Job& job, UpstreamResult result, Instant now)
@@ -276,6 +314,8 @@
         response.outcome = HopOutcome::NotRun;
         response.reason = reason;
         response.reachedUpstream = job->reachedUpstream;
+        if (!job->reachedUpstream)
+            returnRepeat(*job);
         finish(job, std::move(response));
     }
 
@@ -285,6 +325,7 @@
         response.number = job->request.number;
         response.load = load(now);
         response.costs = state.costs.localCost(job->request.route);
+        response.arrivals = state.costs.localArrivals(job->request.route);
         const bool started = job->startedAt >= job->arrivedAt;
         response.gateWait = (started ? job->startedAt : now) - job->arrivedAt;
         state.counters.gateWaits[job->request.route.text].add(response.gateWait);
@@ -349,6 +390,7 @@
             return;
         if (waiting.erase(job->ticket) > 0) {
             gate.withdraw(job->ticket);
+            returnRepeat(*job);
             endJob(job);
             return;
         }
@@ -465,6 +507,9 @@
     Internals& service = *m_internals;
     const KnownUpstream* local
         = service.state.directory.newestAtAddress(service.state.settings.upstreamAddress);
+    service.state.retryBudget.setUpstreamCount(
+        service.state.directory.usable(service.state.settings.service).size());
+    service.state.retryBudget.removeIdleRoutes(now);
     if (!local)
         return;
     if (!local->record.draining)
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -202,7 +202,6 @@
     {
         m_peersRefreshedAt = now;
         std::vector<VmId> vms = m_state.directory.vms();
-        m_state.retryBudget.setNodeCount(vms.size());
         std::erase(vms, m_localOrigin.vm);
         m_links.setPeers(vms);
         m_hop.refreshUpstream(now);
--- a/test/fuzz/PeerFramesHandleMalformedInput.cpp
+++ b/test/fuzz/PeerFramesHandleMalformedInput.cpp
@@ -35,6 +35,7 @@
     response.load = { { 1, 2, 3 }, 0.25, 30ms, false };
     response.costs = { { { "deep" }, 0.24 } };
     response.gateWait = 3ms;
+    response.arrivals = { { { "deep" }, 8 } };
     return { LinkHello { { "10.0.0.1" }, 99 }, LinkHeartbeat { response.load, 5, false, 1.5 },
         LinkHeartbeat { response.load, 5, true, std::nullopt }, request, response, HopCancel { 7 },
         HopResume { { 1, 2 } }, StoreChangesRequest { 4 },
--- a/tools/lab/SimulatedNode.h
+++ b/tools/lab/SimulatedNode.h
@@ -41,7 +41,7 @@
     SimulatedUpstream& upstream() { return *m_upstream; }
     const HopOrigin& origin() const { return m_origin; }
 
-    /// Applies the changed directory to the retry budget and the hop service.
+    /// Applies the changed directory to the hop service.
     void onDirectoryChange();
     /// Runs the timers that are due, like a sidecar's event loop. Called every 10 ms.
     void tick();
