Read an upstream's limit and leaving notice; log and export them

Values that are no plain decimal number are logged and have no effect. No decision uses the notice yet.

--- a/src/protocol/PlatformAdapter.h
+++ b/src/protocol/PlatformAdapter.h
@@ -26,6 +26,9 @@
     std::string instance; ///< in responses to health checks
     std::string load; ///< the upstream's running and waiting requests and its slots
     std::string notRun; ///< present when the upstream did not run the request
+    std::string
+        requestLimit; ///< in responses: the requests a second that the upstream takes from all callers
+    std::string leaving; ///< in responses, with the value 1: the upstream is leaving
     std::string callerService; ///< for the upstream: the service in whose VM the request originated
     std::string apiKey; ///< holds the caller's API key
     std::string apiKeyScheme; ///< the authentication scheme in front of the API key
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -2,6 +2,8 @@
 #include "transport/HopService.h"
 
 #include "coordination/SlotGate.h"
+#include "coordination/UpstreamNoticeTracker.h"
+#include "protocol/UpstreamNoticeDecoder.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -46,6 +48,7 @@
         HopRequest request;
         Instant arrivedAt;
         Instant startedAt;
+        Instant sentAt; // to the upstream
         Instant attemptedAt; // when the retry budget counted the last attempt
         Instant deadline;
         GateTicket ticket { 0 };
@@ -193,6 +196,7 @@
     {
         const HopRequest& request = job->request;
         countArrival(*job, now);
+        job->sentAt = now;
         RequestHead head;
         head.method = request.method;
         head.target = request.target;
@@ -278,6 +282,8 @@
             break;
         }
         const ResponseHead& head = result.response.head;
+        if (head.status != statusMisdirected)
+            readNotice(head.fields, job, now);
         const bool hasNotRunField = head.fields.find(names().notRun).has_value();
         if (hasNotRunField || head.status == statusMisdirected) {
             const bool mayHaveRunBefore = job.resent && !job.request.idempotent;
@@ -298,6 +304,21 @@
         return response;
     }
 
+    void readNotice(const HttpFields& fields, const Job& job, Instant now)
+    {
+        const auto notice = decodeUpstreamNotice(fields, names());
+        if (!notice)
+            return state.log.state("upstream notice not usable", now, [&] {
+                return nlohmann::json { { "reason", notice.error() } };
+            });
+        if (!noticeTracker.onResponse(*notice, job.sentAt, now))
+            return;
+        state.log.state("upstream notice", now, [&] {
+            return nlohmann::json { { "requestsPerSecond", notice->requestsPerSecond.value_or(-1) },
+                { "leaving", notice->leaving } };
+        });
+    }
+
     /// Whether the response is the upstream's own: upstreams put their seal field on each success response
     /// and never encode bodies unasked.
     bool isValidResponse(const ResponseHead& head) const
@@ -462,6 +483,7 @@
     Reply reply;
     SlotGate gate;
     OverloadController overloadController;
+    UpstreamNoticeTracker noticeTracker;
     std::map<JobKey, JobPtr> jobs; // those that wait or run, and ended non-idempotent ones that are retained
     std::size_t openJobs { 0 }; // jobs that wait or run
     std::unordered_map<GateTicket, JobPtr> waiting; // jobs at the gate
@@ -535,6 +557,8 @@
         service.gate.state(), std::exchange(service.arrivals, 0), service.gate.meanServiceTime(), now);
 }
 
+std::optional<UpstreamNotice> HopService::notice() const { return m_internals->noticeTracker.notice(); }
+
 UpstreamLoad HopService::load() const { return m_internals->load(m_internals->state.now()); }
 
 std::size_t HopService::openCount() const { return m_internals->openJobs; }
--- a/src/transport/SidecarMetrics.h
+++ b/src/transport/SidecarMetrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "state/UpstreamLoad.h"
+#include "state/UpstreamNotice.h"
 #include "transport/SidecarState.h"
 
 #include <compare>
@@ -21,6 +22,7 @@
     std::size_t openCalls { 0 };
     std::size_t openHops { 0 };
     std::uint64_t storeRevision { 0 };
+    UpstreamNotice upstreamNotice;
 
     auto operator<=>(const SidecarStats&) const = default;
 };
