--- a/tools/lab/LoadScenario.h
+++ b/tools/lab/LoadScenario.h
@@ -68,6 +68,8 @@
     Slow, ///< work at upstreams of a service takes `factor` times as long
     LoseAnswers, ///< upstreams of a service run requests and lose the share `factor` of the responses
     Reject, ///< upstreams of a service reject the share `factor` of the requests without running them
+    NameLimit, ///< upstreams of a service name a limit of `factor` requests per second in their responses
+    NameLeaving, ///< upstreams of a service say in their responses that they are leaving
     Lose, ///< VMs of a service end without notice; at `until` new VMs replace them
     Drain, ///< VMs of a service drain and end; at `until` new VMs replace them
     HotTeam, ///< the first team sends `factor` times its usual rate
--- a/tools/lab/ScenarioParser.cpp
+++ b/tools/lab/ScenarioParser.cpp
@@ -187,6 +187,8 @@
     void readSlow(LineReader& line) { readServiceFault(line, ScenarioFaultKind::Slow); }
     void readLoseAnswers(LineReader& line) { readServiceFault(line, ScenarioFaultKind::LoseAnswers); }
     void readReject(LineReader& line) { readServiceFault(line, ScenarioFaultKind::Reject); }
+    void readNameLimit(LineReader& line) { readServiceFault(line, ScenarioFaultKind::NameLimit); }
+    void readNameLeaving(LineReader& line) { readServiceFault(line, ScenarioFaultKind::NameLeaving); }
     void readLose(LineReader& line) { readServiceFault(line, ScenarioFaultKind::Lose); }
     void readDrain(LineReader& line) { readServiceFault(line, ScenarioFaultKind::Drain); }
 
@@ -199,7 +201,9 @@
             line.fail("a service that is defined above");
         expect(line, "share");
         fault.share = line.number("a share of the VMs");
-        if (kind != ScenarioFaultKind::Lose && kind != ScenarioFaultKind::Drain) {
+        constexpr std::array kindsWithoutFactor { ScenarioFaultKind::Lose, ScenarioFaultKind::Drain,
+            ScenarioFaultKind::NameLeaving };
+        if (std::ranges::find(kindsWithoutFactor, kind) == kindsWithoutFactor.end()) {
             expect(line, "factor");
             fault.factor = line.number("a factor");
         }
@@ -261,6 +265,8 @@
         Statement { "slow", &Parser::readSlow },
         Statement { "lose-answers", &Parser::readLoseAnswers },
         Statement { "reject", &Parser::readReject },
+        Statement { "name-limit", &Parser::readNameLimit },
+        Statement { "name-leaving", &Parser::readNameLeaving },
         Statement { "lose", &Parser::readLose },
         Statement { "drain", &Parser::readDrain },
         Statement { "hot-team", &Parser::readHotTeam },
--- a/tools/lab/SimulatedFleet.cpp
+++ b/tools/lab/SimulatedFleet.cpp
@@ -36,6 +36,8 @@
 const std::map<ScenarioFaultKind, UpstreamFault> upstreamFaults {
     { ScenarioFaultKind::Slow, { &SimulatedUpstream::setSlowdown, 1 } },
     { ScenarioFaultKind::LoseAnswers, { &SimulatedUpstream::setLostShare, 0 } },
+    { ScenarioFaultKind::NameLimit, { &SimulatedUpstream::setNamedLimit, 0 } },
+    { ScenarioFaultKind::NameLeaving, { &SimulatedUpstream::setLeaving, 0 } },
     { ScenarioFaultKind::Reject, { &SimulatedUpstream::setRejectedShare, 0 } },
 };
 
--- a/tools/lab/SimulatedUpstream.cpp
+++ b/tools/lab/SimulatedUpstream.cpp
@@ -3,6 +3,7 @@
 
 #include "lab/SimplePlatformAdapter.h"
 
+#include <algorithm>
 #include <cmath>
 #include <numbers>
 
@@ -14,6 +15,9 @@
 constexpr std::size_t maxQueueLength = 108; // what most services state for their upstreams
 constexpr double coldSlowdown = 2; // likewise
 constexpr Duration shedResponseDelay = 500us; // the time to reject a request
+/// Of the limit that an upstream names, and arrivals in addition.
+constexpr double toleratedExcess = 1.5;
+constexpr double toleratedExtra = 5;
 constexpr std::uint16_t statusOk = 200;
 constexpr std::uint16_t statusFailed = 500;
 constexpr std::uint16_t statusShed = 503;
@@ -55,6 +59,7 @@
     execution->deadline = m_clock.now() + std::chrono::milliseconds(std::stoll(std::string(remainingMs)));
     m_executions[execution->exchange] = execution;
     ++m_counters.arrivals;
+    countLimitedArrival();
     execution->isRepeat = m_retryUse.recordArrival(execution->kind->service, execution->id, m_clock.now());
     m_clock.after(execution->deadline - m_clock.now(), [weak = weak_from_this(), execution] {
         if (const auto self = weak.lock())
@@ -71,6 +76,47 @@
     return execution->exchange;
 }
 
+void SimulatedUpstream::setNamedLimit(double requestsPerSecond)
+{
+    m_namedLimit = requestsPerSecond;
+    m_limitNamedAt.reset();
+    m_limitedArrivals.clear();
+}
+
+void SimulatedUpstream::setLeaving(double leaving)
+{
+    m_leaving = leaving > 0;
+    m_leavingNamedAt.reset();
+}
+
+void SimulatedUpstream::countLimitedArrival()
+{
+    const Instant now = m_clock.now();
+    if (m_leavingNamedAt && now > *m_leavingNamedAt + drainTime)
+        ++m_counters.lateArrivals;
+    if (!m_limitNamedAt || now < *m_limitNamedAt + limitGrace)
+        return;
+    m_limitedArrivals.push_back(now);
+    while (m_limitedArrivals.front() <= now - limitWindow)
+        m_limitedArrivals.pop_front();
+    const double tolerated = toleratedExcess * m_namedLimit * toSeconds(limitWindow) + toleratedExtra;
+    m_counters.maxLimitUse
+        = std::max(m_counters.maxLimitUse, static_cast<double>(m_limitedArrivals.size()) / tolerated);
+}
+
+void SimulatedUpstream::addNotice(HttpFields& fields)
+{
+    const SimplePlatformAdapter adapter;
+    if (m_namedLimit > 0) {
+        fields.add(adapter.fieldNames().requestLimit, std::to_string(m_namedLimit));
+        m_limitNamedAt = m_limitNamedAt.value_or(m_clock.now());
+    }
+    if (m_leaving) {
+        fields.add(adapter.fieldNames().leaving, "1");
+        m_leavingNamedAt = m_leavingNamedAt.value_or(m_clock.now());
+    }
+}
+
 void SimulatedUpstream::reject(const ExecutionPtr& execution)
 {
     ++m_counters.shed;
@@ -149,6 +195,7 @@
     result.response.head.status = status;
     result.response.head.fields.add(adapter.fieldNames().requestId, execution->id);
     result.response.head.fields.add(adapter.fieldNames().seal, "lab");
+    addNotice(result.response.head.fields);
     if (notRun)
         result.response.head.fields.add(adapter.fieldNames().notRun, "1");
     if (done)
--- a/tools/lab/SimulatedUpstream.h
+++ b/tools/lab/SimulatedUpstream.h
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace Ebonystack {
@@ -20,6 +21,9 @@
     std::uint64_t shed { 0 }; ///< rejected because the queue was full
     double slotSeconds { 0 }; ///< for which ended executions held slots
     double wastedSlotSeconds { 0 }; ///< of executions that were aborted or failed
+    /// Most arrivals within `limitWindow` at an upstream that names a limit, relative to what is tolerated.
+    double maxLimitUse { 0 };
+    std::uint64_t lateArrivals { 0 }; ///< at upstreams that have said for `drainTime` that they are leaving
 
     auto operator<=>(const UpstreamCounters&) const = default;
 };
@@ -44,10 +48,18 @@
     void setLostShare(double share) { m_lostShare = share; }
     /// Sets the share of the requests that are rejected without being run.
     void setRejectedShare(double share) { m_rejectedShare = share; }
+    /// Names a limit in all responses from now on, in requests per second; 0 names none.
+    void setNamedLimit(double requestsPerSecond);
+    /// Says in all responses from now on that the upstream is leaving; 0 ends that.
+    void setLeaving(double leaving);
     /// Makes work slower for `coldDuration` from now, as after a start of the upstream.
     void startCold() { m_coldUntil = m_clock.now() + coldDuration; }
 
     static constexpr Duration coldDuration = std::chrono::seconds(3);
+    /// Time after the first response with a limit from which it has to be kept.
+    static constexpr Duration limitGrace = std::chrono::seconds(3);
+    static constexpr Duration limitWindow = std::chrono::seconds(4);
+    static constexpr Duration drainTime = std::chrono::seconds(2);
 
 private:
     struct Execution {
@@ -66,6 +78,8 @@
     };
     using ExecutionPtr = std::shared_ptr<Execution>;
 
+    void countLimitedArrival();
+    void addNotice(HttpFields&);
     void start(const ExecutionPtr&);
     void reject(const ExecutionPtr&);
     bool occurs(double share) { return share > 0 && m_random.uniform() < share; }
@@ -86,6 +100,11 @@
     double m_slowdown { 1 };
     double m_lostShare { 0 };
     double m_rejectedShare { 0 };
+    double m_namedLimit { 0 };
+    bool m_leaving { false };
+    std::optional<Instant> m_limitNamedAt; // the first response with the limit
+    std::optional<Instant> m_leavingNamedAt;
+    std::deque<Instant> m_limitedArrivals; // within the last limitWindow
     Instant m_coldUntil;
     std::unordered_map<ExchangeId, ExecutionPtr> m_executions; // running, queued or being rejected
     std::deque<ExecutionPtr> m_waiting;
--- a/tools/lab/SimulationRun.cpp
+++ b/tools/lab/SimulationRun.cpp
@@ -144,6 +144,8 @@
         upstreamTotals.shed += counters.shed;
         upstreamTotals.slotSeconds += counters.slotSeconds;
         upstreamTotals.wastedSlotSeconds += counters.wastedSlotSeconds;
+        upstreamTotals.maxLimitUse = std::max(upstreamTotals.maxLimitUse, counters.maxLimitUse);
+        upstreamTotals.lateArrivals += counters.lateArrivals;
     }
     SimulationResult result;
     for (const auto& [kind, list] : byKind) {
@@ -160,6 +162,8 @@
     result.measures["upstream-sheds"] = upstreamTotals.arrivals > 0
         ? static_cast<double>(upstreamTotals.shed) / static_cast<double>(upstreamTotals.arrivals)
         : 0;
+    result.measures["limit-use"] = upstreamTotals.maxLimitUse;
+    result.measures["late-arrivals"] = static_cast<double>(upstreamTotals.lateArrivals);
     result.measures["retry-use"] = fleet.retryUse().maxUse(RetryLimits());
     result.measures["plan-refusals"] = planRefusalShare(outcomes, hotTeam);
     result.measures["others-refused"] = planRefusalShare(outcomes, hotTeam + 1);
--- a/tools/lab/SimulationRun.h
+++ b/tools/lab/SimulationRun.h
@@ -27,7 +27,8 @@
 
 struct SimulationResult {
     std::map<RouteId, KindResult> kinds;
-    /// "worth", "bound-share", "served", "worst-team", "wasted", "upstream-sheds", "retry-use",
+    /// "worth", "bound-share", "served", "worst-team", "wasted", "upstream-sheds", "retry-use", "limit-use",
+    /// "late-arrivals",
     /// "plan-refusals", "others-refused", "recovery", "cut"; and "worth KIND" and "served KIND" for each
     /// kind. docs/SCENARIOS.md describes them.
     std::map<std::string, double> measures;
