Keep the request limit that an upstream names, for all sends to it

Class: what an upstream says of itself in a response, which only its own node hears.

Change: the node beside the upstream sees all sends, so its gate spaces them at the named rate: first attempts, repeats, resends, local calls and requests that already wait. The gate reports the running requests that the rate allows as its limit, so placement, the shed share and admission by worth see the smaller capacity. Load reports tell the notice to entry nodes, which place requests by it and repeat it with each request: a node that has restarted keeps it until the upstream's first response. Values that can't be read have no effect.

--- a/src/coordination/SlotGate.cpp
+++ b/src/coordination/SlotGate.cpp
@@ -2,6 +2,7 @@
 #include "coordination/SlotGate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Ebonystack {
 namespace {
@@ -30,10 +31,24 @@
     return startWaiting(now);
 }
 
+std::vector<GateTicket> SlotGate::setRequestLimit(std::optional<double> requestsPerSecond, Instant now)
+{
+    m_pacer.setRate(requestsPerSecond, now);
+    return startWaiting(now);
+}
+
+bool SlotGate::restart(Instant now)
+{
+    if (!m_pacer.mayStart(now))
+        return false;
+    m_pacer.recordStart(now);
+    return true;
+}
+
 GateDecision SlotGate::arrive(const GateRequest& request, Instant now)
 {
-    if (m_running < m_limit && m_waiting.empty()) {
-        ++m_running;
+    if (mayStart(now) && m_waiting.empty()) {
+        recordStart(now);
         return GateDecision::Run;
     }
     if (now + expectedWait(request.rank, now) > request.latestStart)
@@ -77,28 +92,40 @@
 
 Duration SlotGate::expectedWait(int rank, Instant now) const
 {
-    if (m_running < m_limit && m_waiting.empty())
+    if (mayStart(now) && m_waiting.empty())
         return Duration::zero();
     const auto requestsAhead = static_cast<std::int64_t>(std::distance(
         m_waiting.begin(), m_waiting.lower_bound({ effectiveArrivalOf(rank, now), m_lastSequence + 1 })));
-    return m_meanServiceTime * (requestsAhead + 1) / std::max<std::int64_t>(m_limit, 1);
+    return std::max(m_meanServiceTime * (requestsAhead + 1) / std::max<std::int64_t>(m_limit, 1),
+        m_pacer.timeUntilStart(requestsAhead + 1, now));
 }
 
 GateState SlotGate::state() const
 {
-    return { m_running, static_cast<std::uint32_t>(m_waiting.size()), m_limit };
+    std::uint32_t limit = m_limit;
+    if (const auto rate = m_pacer.rate()) {
+        const double running = std::round(*rate * toSeconds(m_meanServiceTime));
+        limit = static_cast<std::uint32_t>(std::clamp<double>(running, 1, m_limit));
+    }
+    return { m_running, static_cast<std::uint32_t>(m_waiting.size()), limit };
+}
+
+void SlotGate::recordStart(Instant now)
+{
+    ++m_running;
+    m_pacer.recordStart(now);
 }
 
 std::vector<GateTicket> SlotGate::startWaiting(Instant now)
 {
     std::vector<GateTicket> started;
-    for (auto next = m_waiting.begin(); next != m_waiting.end() && m_running < m_limit;) {
+    for (auto next = m_waiting.begin(); next != m_waiting.end() && mayStart(now);) {
         const GateRequest request = next->second;
         if (request.latestStart < now) {
             ++next; // `expire` removes the request
             continue;
         }
-        ++m_running;
+        recordStart(now);
         started.push_back(request.ticket);
         m_positions.erase(request.ticket);
         next = m_waiting.erase(next);
--- a/src/coordination/SlotGate.h
+++ b/src/coordination/SlotGate.h
@@ -1,10 +1,12 @@
 // A concurrency limiter with a queue in front of the upstream beside this node. Limits the running requests
 // to what the upstream can run at the same time, so that the upstream never has to shed load itself, and
-// queues the others for as long as they can still finish in time. The rank of a request delays it by a
-// bounded time only, so that a stream of low ranks does not starve the others. The gate handles load in which
-// requests arrive faster than the upstream frees slots.
+// queues the others for as long as they can still finish in time. It also spaces requests for an upstream
+// that names a limit on its rate. The rank of a request delays it by a bounded time only, so that a stream of
+// low ranks does not starve the others. The gate handles load in which requests arrive faster than the
+// upstream frees slots.
 #pragma once
 
+#include "coordination/RequestPacer.h"
 #include "state/UpstreamLoad.h"
 
 #include <compare>
@@ -38,6 +40,14 @@
     /// Sets how many requests the upstream can run at the same time. Returns the tickets that start now.
     std::vector<GateTicket> setSlots(std::uint32_t slots, Instant now);
 
+    /// Sets how many requests may start in a second; nothing ends the limit. Returns the tickets that start
+    /// now.
+    std::vector<GateTicket> setRequestLimit(std::optional<double> requestsPerSecond, Instant now);
+    /// Returns the queued tickets that start now because of the time that has passed.
+    std::vector<GateTicket> startDue(Instant now) { return startWaiting(now); }
+    /// Counts another start of a running request against the request limit; false when that is used up.
+    bool restart(Instant now);
+
     /// Refuses the request if it would start after its latest start, by `expectedWait`.
     GateDecision arrive(const GateRequest&, Instant now);
     /// Called when a running request has ended after `serviceTime`. Returns the tickets that start now.
@@ -60,10 +70,13 @@
         auto operator<=>(const QueuePosition&) const = default;
     };
 
+    bool mayStart(Instant now) const { return m_running < m_limit && m_pacer.mayStart(now); }
+    void recordStart(Instant now);
     std::vector<GateTicket> startWaiting(Instant now);
 
     std::uint32_t m_limit { 16 };
     std::uint32_t m_running { 0 };
+    RequestPacer m_pacer;
     std::uint64_t m_lastSequence { 0 };
     Duration m_meanServiceTime { std::chrono::milliseconds(50) };
     // The two maps contain the same tickets.
--- a/src/coordination/UpstreamNoticeTracker.cpp
+++ b/src/coordination/UpstreamNoticeTracker.cpp
@@ -5,6 +5,7 @@
 
 bool UpstreamNoticeTracker::onResponse(const UpstreamNotice& notice, Instant sentAt, Instant now)
 {
+    m_hasResponded = true;
     const bool saysSomething = notice.requestsPerSecond || notice.leaving;
     if (saysSomething)
         m_heardAt = now;
@@ -16,4 +17,12 @@
     return true;
 }
 
+bool UpstreamNoticeTracker::adopt(const UpstreamNotice& notice)
+{
+    if (m_hasResponded || m_notice)
+        return false;
+    m_notice = notice;
+    return true;
+}
+
 } // namespace Ebonystack
--- a/src/coordination/UpstreamNoticeTracker.h
+++ b/src/coordination/UpstreamNoticeTracker.h
@@ -15,11 +15,16 @@
     /// in force has changed.
     bool onResponse(const UpstreamNotice&, Instant sentAt, Instant now);
 
+    /// Takes over a notice that another node remembers, until the upstream responds for the first time since
+    /// this node's start. Returns whether the notice in force has changed.
+    bool adopt(const UpstreamNotice&);
+
     /// The notice in force; nothing until the upstream has given one since the node's start.
     const std::optional<UpstreamNotice>& notice() const { return m_notice; }
 
 private:
     std::optional<UpstreamNotice> m_notice;
+    bool m_hasResponded { false }; // the upstream, since this node's start
     Instant m_heardAt; // when the last response with a notice arrived
 };
 
--- a/src/coordination/UpstreamSelector.cpp
+++ b/src/coordination/UpstreamSelector.cpp
@@ -86,12 +86,19 @@
             && now - *found->second.observedAt < loadReportLifetime;
         if (!hasCurrentLoad)
             continue;
-        shed += found->second.load.shedShare * upstream->record.slots;
-        slots += upstream->record.slots;
+        const double upstreamCapacity = capacity(*upstream, found->second.load);
+        shed += found->second.load.shedShare * upstreamCapacity;
+        slots += upstreamCapacity;
     }
     return slots > 0 ? shed / slots : 0;
 }
 
+double UpstreamSelector::capacity(const KnownUpstream& upstream, const UpstreamLoad& load)
+{
+    const bool isLimited = load.notice && load.notice->requestsPerSecond;
+    return isLimited ? std::min(upstream.record.slots, load.gate.limit) : upstream.record.slots;
+}
+
 double UpstreamSelector::weight(const KnownUpstream& upstream, Instant now) const
 {
     double weight = upstream.record.slots;
@@ -110,6 +117,7 @@
         return std::max(weight, minWeight);
     if (!vmState.load.acceptsRequests)
         return minWeight;
+    weight *= capacity(upstream, vmState.load) / upstream.record.slots;
     const GateState& gate = vmState.load.gate;
     const double utilization
         = (gate.running + gate.queued + vmState.startedSinceReport) / static_cast<double>(gate.limit);
--- a/src/coordination/UpstreamSelector.h
+++ b/src/coordination/UpstreamSelector.h
@@ -43,6 +43,8 @@
     };
 
     double weight(const KnownUpstream&, Instant now) const;
+    /// The requests that run at the upstream at the same time at most, by its record and its load report.
+    static double capacity(const KnownUpstream&, const UpstreamLoad&);
 
     DataCentre m_localDataCentre;
     RandomSource m_random;
--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -78,16 +78,32 @@
     return fields;
 }
 
+Json encodeOptional(const std::optional<double>& number) { return number ? Json(*number) : Json(); }
+
+std::optional<double> decodeOptional(const Json& json)
+{
+    return json.is_null() ? std::nullopt : std::optional(json.get<double>());
+}
+
 Json encodeLoad(const UpstreamLoad& load)
 {
-    return Json::array({ load.gate.running, load.gate.queued, load.gate.limit, load.shedShare,
+    Json json = Json::array({ load.gate.running, load.gate.queued, load.gate.limit, load.shedShare,
         load.meanServiceTime.count(), load.acceptsRequests });
+    if (load.notice) {
+        json.push_back(load.notice->instance.text);
+        json.push_back(encodeOptional(load.notice->requestsPerSecond));
+        json.push_back(load.notice->leaving);
+    }
+    return json;
 }
 
 UpstreamLoad decodeLoad(const Json& json)
 {
-    return { { json.at(0), json.at(1), json.at(2) }, json.at(3), Duration(json.at(4).get<std::int64_t>()),
-        json.at(5) };
+    UpstreamLoad load { { json.at(0), json.at(1), json.at(2) }, json.at(3),
+        Duration(json.at(4).get<std::int64_t>()), json.at(5), std::nullopt };
+    if (json.size() > 6)
+        load.notice = { { json.at(6).get<std::string>() }, decodeOptional(json.at(7)), json.at(8) };
+    return load;
 }
 
 Duration decodeDuration(const Json& json) { return Duration(json.get<std::int64_t>()); }
@@ -110,7 +126,7 @@
     return Json::array({ frame.number, frame.route.text, frame.remainingTime.count(),
         frame.maxGateWait.count(), frame.rank, frame.idempotent, frame.isRedispatch, frame.instance.text,
         frame.method, encodeBytes(frame.target), encodeFields(frame.fields), encodeBytes(frame.body),
-        frame.repeatShare });
+        frame.repeatShare, encodeOptional(frame.knownRequestLimit) });
 }
 
 Json encodeCosts(const CostVector& costs)
@@ -193,9 +209,10 @@
 PeerFrame decodeRequest(const Json& json)
 {
     const double repeatShare = json.size() > 12 ? std::clamp(json.at(12).get<double>(), 0.0, 1.0) : 0;
+    const auto requestLimit = json.size() > 13 ? decodeOptional(json.at(13)) : std::nullopt;
     return HopRequest { json.at(0), { json.at(1) }, decodeDuration(json.at(2)), decodeDuration(json.at(3)),
-        json.at(4), json.at(5), json.at(6), repeatShare, { json.at(7) }, json.at(8), decodeBytes(json.at(9)),
-        decodeFields(json.at(10)), decodeBytes(json.at(11)) };
+        json.at(4), json.at(5), json.at(6), repeatShare, requestLimit, { json.at(7) }, json.at(8),
+        decodeBytes(json.at(9)), decodeFields(json.at(10)), decodeBytes(json.at(11)) };
 }
 
 PeerFrame decodeResponse(const Json& json)
--- a/src/protocol/PeerFrame.h
+++ b/src/protocol/PeerFrame.h
@@ -55,6 +55,9 @@
     /// upstream before, else the probability that a repeated run has made this nested call. Optional on the
     /// wire.
     double repeatShare { 0 };
+    /// The limit that the upstream named when the entry node last heard of it, for a node that has restarted
+    /// since. Optional on the wire.
+    std::optional<double> knownRequestLimit;
     InstanceId instance; ///< the only instance that may run the request
     std::string method;
     std::string target;
--- a/src/state/UpstreamLoad.h
+++ b/src/state/UpstreamLoad.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "state/Time.h"
+#include "state/UpstreamNotice.h"
 
 #include <compare>
 #include <cstdint>
@@ -12,7 +13,8 @@
 struct GateState {
     std::uint32_t running { 0 };
     std::uint32_t queued { 0 };
-    std::uint32_t limit { 0 }; ///< requests that may run at the same time
+    /// Requests that may run at the same time, or that run on average at the rate that the upstream takes.
+    std::uint32_t limit { 0 };
 
     auto operator<=>(const GateState&) const = default;
 };
@@ -22,6 +24,8 @@
     double shedShare { 0 }; ///< share of the demand to be shed by entry nodes; from 0 to just under 1
     Duration meanServiceTime { 0 }; ///< mean time for which a request occupies a slot
     bool acceptsRequests { true }; ///< false: the upstream can't be reached, or its node is shutting down
+    /// What the upstream says of itself; nothing until it has said something since its node's start.
+    std::optional<UpstreamNotice> notice;
 
     auto operator<=>(const UpstreamLoad&) const = default;
 };
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -297,6 +297,7 @@
         request.repeatShare = call->upstreamAttempts > 0 ? 1 : call->repeatShare;
         request.idempotent = call->route->idempotent;
         request.instance = chosen->record.instance;
+        request.knownRequestLimit = state.upstreamNotices.requestLimit(request.instance);
         request.method = call->request.head.method;
         request.target = call->request.head.target;
         request.fields = call->request.head.fields;
@@ -372,7 +373,7 @@
     void onResponse(const VmId& vm, HopResponse response)
     {
         const Instant now = state.now();
-        state.upstreamSelector.recordLoadReport(vm, response.load, now);
+        state.recordLoadReport(vm, response.load, now);
         const auto found = callsByHop.find(response.number);
         if (found == callsByHop.end())
             return; // the hop was cancelled or abandoned
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -76,7 +76,17 @@
     UpstreamLoad load(Instant now) const
     {
         const bool acceptsRequests = state.acceptsPeerRequests() && now >= upstreamDownUntil;
-        return { gate.state(), overloadController.shedShare(), gate.meanServiceTime(), acceptsRequests };
+        return { gate.state(), overloadController.shedShare(), gate.meanServiceTime(), acceptsRequests,
+            notice() };
+    }
+
+    /// The notice in force, with the upstream's instance.
+    std::optional<UpstreamNotice> notice() const
+    {
+        auto notice = noticeTracker.notice();
+        if (notice)
+            notice->instance = localInstance;
+        return notice;
     }
 
     void request(const HopOrigin& origin, HopRequest request)
@@ -101,6 +111,9 @@
         const Instant latestStart = job->deadline - expectedServiceTime;
         const Duration maxWait = fromSeconds(toSeconds(job->request.remainingTime) * gateWaitShare);
         const Instant maxWaitEnd = now + std::min(maxWait, job->request.maxGateWait);
+        if (job->request.knownRequestLimit
+            && noticeTracker.adopt({ {}, job->request.knownRequestLimit, false }))
+            applyNotice(now);
         if (isRepeat(*job) && !takeRepeat(*job, now))
             return finishNotRun(job, HopReason::RetryBudgetSpent);
         if (!job->request.isRedispatch)
@@ -258,7 +271,7 @@
     bool mayResend(Job& job, const UpstreamResult& result, Instant now)
     {
         return result.kind == UpstreamResult::Kind::Lost && result.nothingReceived && result.reused
-            && !job.resent && job.request.idempotent && job.deadline - now > minTimeToRun
+            && !job.resent && job.request.idempotent && job.deadline - now > minTimeToRun && gate.restart(now)
             && takeRepeat(job, now);
     }
 
@@ -311,8 +324,14 @@
             return state.log.state("upstream notice not usable", now, [&] {
                 return nlohmann::json { { "reason", notice.error() } };
             });
-        if (!noticeTracker.onResponse(*notice, job.sentAt, now))
-            return;
+        if (noticeTracker.onResponse(*notice, job.sentAt, now))
+            applyNotice(now);
+    }
+
+    void applyNotice(Instant now)
+    {
+        const auto notice = noticeTracker.notice();
+        startJobs(gate.setRequestLimit(notice->requestsPerSecond, now), now);
         state.log.state("upstream notice", now, [&] {
             return nlohmann::json { { "requestsPerSecond", notice->requestsPerSecond.value_or(-1) },
                 { "leaving", notice->leaving } };
@@ -493,6 +512,7 @@
     Instant upstreamDownUntil;
     std::optional<Instant> drainingSince;
     std::uint32_t slots { 0 };
+    InstanceId localInstance; // of the upstream beside this node
 };
 
 HopService::HopService(SidecarState& state, UpstreamTransport& upstream, Reply reply)
@@ -534,6 +554,7 @@
     service.state.retryBudget.removeIdleRoutes(now);
     if (!local)
         return;
+    service.localInstance = local->record.instance;
     if (!local->record.draining)
         service.drainingSince.reset();
     else if (!service.drainingSince)
@@ -553,11 +574,12 @@
         service.waiting.erase(found);
         service.finishNotRun(job, HopReason::GateFull);
     }
+    service.startJobs(service.gate.startDue(now), now);
     service.overloadController.observe(
         service.gate.state(), std::exchange(service.arrivals, 0), service.gate.meanServiceTime(), now);
 }
 
-std::optional<UpstreamNotice> HopService::notice() const { return m_internals->noticeTracker.notice(); }
+std::optional<UpstreamNotice> HopService::notice() const { return m_internals->notice(); }
 
 UpstreamLoad HopService::load() const { return m_internals->load(m_internals->state.now()); }
 
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -132,7 +132,7 @@
         m_state.timers.every(now, poolPeriod, [this](Instant) { m_pool.closeIdle(); });
         m_state.timers.every(now, linkPeriod, [this](Instant at) { tickLinks(at); });
         m_state.timers.every(now, admissionPeriod, [this](Instant at) {
-            m_state.upstreamSelector.recordLoadReport(m_localOrigin.vm, m_hop.load(), at);
+            m_state.recordLoadReport(m_localOrigin.vm, m_hop.load(), at);
             m_entry.updateAdmittedShares(at);
             m_callers.tick(at);
         });
@@ -206,6 +206,7 @@
         m_links.setPeers(vms);
         m_hop.refreshUpstream(now);
         m_feed.refreshPeers();
+        m_state.upstreamNotices.removeUnknown(m_state.directory);
     }
 
     // Updates from the store.
@@ -300,7 +301,7 @@
     void onHeartbeat(const VmId& vm, const LinkHeartbeat& heartbeat) override
     {
         const Instant now = monotonicNow();
-        m_state.upstreamSelector.recordLoadReport(vm, heartbeat.load, now);
+        m_state.recordLoadReport(vm, heartbeat.load, now);
         m_storeReachability.report(vm, heartbeat.reachesStore, now);
         m_feed.onPeerRevision(vm, heartbeat.storeRevision, now);
     }
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -6,6 +6,7 @@
 #include "coordination/RetryBudget.h"
 #include "coordination/TimerService.h"
 #include "coordination/UpstreamDirectory.h"
+#include "coordination/UpstreamNotices.h"
 #include "coordination/UpstreamSelector.h"
 #include "protocol/PlatformAdapter.h"
 #include "protocol/SidecarSettings.h"
@@ -68,9 +69,18 @@
     UpstreamDirectory directory;
     CallCosts costs;
     UpstreamSelector upstreamSelector;
+    UpstreamNotices upstreamNotices;
     RetryBudget retryBudget;
     std::optional<Instant> shutdownDeadline; ///< set while the node is leaving; no request is open after it
 
+    /// Called with every load report of a VM.
+    void recordLoadReport(const VmId& vm, const UpstreamLoad& load, Instant at)
+    {
+        upstreamSelector.recordLoadReport(vm, load, at);
+        if (load.notice)
+            upstreamNotices.record(*load.notice);
+    }
+
     bool isLeaving() const { return shutdownDeadline.has_value(); }
     /// Whether other nodes may send requests for the upstream. A leaving node accepts them until
     /// `finalDrainTime` before its end, because the fleet loses its upstream's slots when it stops.
--- a/test/fuzz/PeerFramesHandleMalformedInput.cpp
+++ b/test/fuzz/PeerFramesHandleMalformedInput.cpp
@@ -20,6 +20,7 @@
     request.idempotent = true;
     request.isRedispatch = true;
     request.repeatShare = 0.25;
+    request.knownRequestLimit = 28.1;
     request.instance = { "i-1" };
     request.method = "POST";
     request.target = "/a/b?c=\xff";
@@ -32,7 +33,7 @@
     response.status = 200;
     response.fields.add("X", "y");
     response.body = "body";
-    response.load = { { 1, 2, 3 }, 0.25, 30ms, false };
+    response.load = { { 1, 2, 3 }, 0.25, 30ms, false, UpstreamNotice { { "i-1" }, 28.1, true } };
     response.costs = { { { "deep" }, 0.24 } };
     response.gateWait = 3ms;
     response.arrivals = { { { "deep" }, 8 } };
--- a/tools/lab/SimulatedFleet.cpp
+++ b/tools/lab/SimulatedFleet.cpp
@@ -208,7 +208,7 @@
         for (const auto& [to, receiver] : m_nodes) {
             if (from != to)
                 deliver(from, to, [vm = from, load, this](SimulatedNode& node) {
-                    node.state().upstreamSelector.recordLoadReport(vm, load, m_clock.now());
+                    node.state().recordLoadReport(vm, load, m_clock.now());
                 });
         }
     }
--- a/tools/lab/SimulatedNode.cpp
+++ b/tools/lab/SimulatedNode.cpp
@@ -46,7 +46,7 @@
     m_state.timers.every(now, gatePeriod, [this](Instant at) { m_hop.tick(at); });
     m_state.timers.every(now, housekeepingPeriod, [this](Instant) { m_state.costs.decay(); });
     m_state.timers.every(now, admissionPeriod, [this](Instant at) {
-        m_state.upstreamSelector.recordLoadReport(m_origin.vm, m_hop.load(), at);
+        m_state.recordLoadReport(m_origin.vm, m_hop.load(), at);
         if (!m_fleet.options().withoutAdmission)
             m_entry.updateAdmittedShares(at);
     });
