Send nothing to an upstream that says it is leaving, also when its node has forgotten

Cause: no node read the field; nodes knew of leaving upstreams by the store alone. Same class as the request limit: what an upstream says in a response, which only its own node hears.

Evidence: scenario LeavingUpstreamsGetNoRequests: 3,208 arrivals later than the drain time after the first such response.

Change: the node beside the upstream takes such a response like a draining record: it reports that it accepts no requests and rejects them after half of the drain time. Load reports tell the entry nodes, which remember it for that run of the instance, whatever the store or a restarted node of the upstream say later; while no other upstream is left they use it for that half of the drain time. A run is told apart by the start time in its record, so an id or address that is used again is another upstream.

--- a/src/coordination/UpstreamNoticeTracker.h
+++ b/src/coordination/UpstreamNoticeTracker.h
@@ -19,6 +19,9 @@
     /// this node's start. Returns whether the notice in force has changed.
     bool adopt(const UpstreamNotice&);
 
+    /// Forgets the notice: the address belongs to another run of an upstream.
+    void reset() { *this = {}; }
+
     /// The notice in force; nothing until the upstream has given one since the node's start.
     const std::optional<UpstreamNotice>& notice() const { return m_notice; }
 
--- a/src/coordination/UpstreamNotices.h
+++ b/src/coordination/UpstreamNotices.h
@@ -1,5 +1,6 @@
 // The notices of all upstreams, as their nodes report them. An entry node remembers them while the upstream's
-// own node can't: after a restart that node knows nothing until the upstream responds again.
+// own node can't: after a restart that node knows nothing until the upstream responds again. An upstream that
+// has said that it is leaving stays so for the rest of its run; its id and address may be used again.
 #pragma once
 
 #include "coordination/UpstreamDirectory.h"
@@ -13,14 +14,22 @@
 class UpstreamNotices {
 public:
     /// Called with the notice of each load report.
-    void record(const UpstreamNotice&);
+    void record(const UpstreamNotice&, const UpstreamDirectory&, Instant now);
+    /// Since when this run of the upstream is known to be leaving; nothing if it isn't.
+    std::optional<Instant> leavingSince(const UpstreamRecord&) const;
     /// The limit that the upstream has named last; nothing when it named none.
     std::optional<double> requestLimit(const InstanceId&) const;
     /// Forgets the upstreams that have left the directory.
     void removeUnknown(const UpstreamDirectory&);
 
 private:
-    std::map<InstanceId, UpstreamNotice> m_notices;
+    struct KnownNotice {
+        UpstreamNotice notice;
+        std::uint64_t startedAt { 0 }; // of the upstream's run, see UpstreamRecord
+        Instant leavingSince; // if the notice says so
+    };
+
+    std::map<InstanceId, KnownNotice> m_notices;
 };
 
 } // namespace Ebonystack
--- a/src/state/UpstreamRecord.h
+++ b/src/state/UpstreamRecord.h
@@ -10,7 +10,7 @@
 
 namespace Ebonystack {
 
-/// Identifies one run of an upstream: a restart gives a new id.
+/// Identifies an upstream: a restart mostly gives a new id.
 using InstanceId = Name<struct InstanceTag>;
 
 struct UpstreamRecord {
@@ -22,6 +22,8 @@
     std::uint32_t slots { 1 }; ///< requests that the upstream can run at the same time
     bool draining { false }; ///< the upstream takes no new requests
     Duration remainingColdTime { 0 }; ///< of slowness after the start, counted from the record's write
+    /// When the upstream started, in milliseconds since the Unix epoch: tells runs with the same id apart.
+    std::uint64_t startedAt { 0 };
 
     auto operator<=>(const UpstreamRecord&) const = default;
 };
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -274,9 +274,26 @@
         auto upstreams = state.directory.usable(service);
         std::erase_if(upstreams,
             [&](const KnownUpstream* upstream) { return !transport.canReach(upstream->record.vm); });
+        removeLeaving(upstreams);
         return upstreams;
     }
 
+    /// Removes the upstreams that have said that they are leaving; for the first part of the drain time only
+    /// if there are others.
+    void removeLeaving(std::vector<const KnownUpstream*>& upstreams) const
+    {
+        const auto isLeaving = [&](const KnownUpstream* upstream) {
+            return state.upstreamNotices.leavingSince(upstream->record).has_value();
+        };
+        if (std::ranges::all_of(upstreams, isLeaving)) {
+            const Instant earliest = state.now() - state.drainAcceptTime();
+            std::erase_if(upstreams, [&](const KnownUpstream* upstream) {
+                return state.upstreamNotices.leavingSince(upstream->record) < earliest;
+            });
+        } else
+            std::erase_if(upstreams, isLeaving);
+    }
+
     void dispatch(const CallPtr& call)
     {
         const Instant now = state.now();
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -35,9 +35,6 @@
 constexpr Duration outcomeRetention = 60s;
 /// How long after a failed connection the reported load says that the upstream accepts no requests.
 constexpr Duration upstreamDownTime = 700ms;
-/// Share of the operator's drain time in which requests for a draining upstream are accepted. Entry nodes
-/// that know of the draining have stopped sending by then; later requests are rejected.
-constexpr double drainAcceptShare = 0.5;
 
 } // namespace
 
@@ -75,7 +72,7 @@
 
     UpstreamLoad load(Instant now) const
     {
-        const bool acceptsRequests = state.acceptsPeerRequests() && now >= upstreamDownUntil;
+        const bool acceptsRequests = state.acceptsPeerRequests() && now >= upstreamDownUntil && !leavingSince;
         return { gate.state(), overloadController.shedShare(), gate.meanServiceTime(), acceptsRequests,
             notice() };
     }
@@ -101,8 +98,7 @@
         job->request = std::move(request);
         jobs[{ origin, job->request.number }] = job;
         ++openJobs;
-        if (drainingSince
-            && now - *drainingSince > fromSeconds(toSeconds(state.settings.drain) * drainAcceptShare))
+        if (isDrained(drainingSince, now) || isDrained(leavingSince, now))
             return finishNotRun(job, HopReason::UpstreamDraining);
         if (!state.canFinish(job->deadline))
             return finishNotRun(job, HopReason::NodeLeaving);
@@ -127,6 +123,11 @@
             startJob(job->ticket, now);
     }
 
+    bool isDrained(const std::optional<Instant>& since, Instant now) const
+    {
+        return since && now - *since > state.drainAcceptTime();
+    }
+
     /// The probability that the last arrival of the job's request at the upstream is a repeat.
     static double repeatShareOf(const Job& job) { return job.resent ? 1 : job.request.repeatShare; }
     static bool isRepeat(const Job& job) { return repeatShareOf(job) >= 1; }
@@ -330,11 +331,12 @@
 
     void applyNotice(Instant now)
     {
-        const auto notice = noticeTracker.notice();
-        startJobs(gate.setRequestLimit(notice->requestsPerSecond, now), now);
+        const UpstreamNotice notice = noticeTracker.notice().value_or(UpstreamNotice {});
+        leavingSince = notice.leaving ? leavingSince.value_or(now) : std::optional<Instant>();
+        startJobs(gate.setRequestLimit(notice.requestsPerSecond, now), now);
         state.log.state("upstream notice", now, [&] {
-            return nlohmann::json { { "requestsPerSecond", notice->requestsPerSecond.value_or(-1) },
-                { "leaving", notice->leaving } };
+            return nlohmann::json { { "requestsPerSecond", notice.requestsPerSecond.value_or(-1) },
+                { "leaving", notice.leaving } };
         });
     }
 
@@ -348,6 +350,19 @@
         return head.fields.find(names().seal) && !head.fields.find("Content-Encoding");
     }
 
+    /// Forgets what the upstream has said when another run of it has taken its address.
+    void setLocalRun(const UpstreamRecord& record, Instant now)
+    {
+        const bool isSameRun = localInstance == record.instance && localStartedAt == record.startedAt;
+        if (!localInstance.empty() && !isSameRun) {
+            noticeTracker.reset();
+            leavingSince.reset();
+            startJobs(gate.setRequestLimit(std::nullopt, now), now);
+        }
+        localInstance = record.instance;
+        localStartedAt = record.startedAt;
+    }
+
     void finishNotRun(const JobPtr& job, HopReason reason)
     {
         HopResponse response;
@@ -510,9 +525,12 @@
     std::uint32_t arrivals { 0 }; // since the last observation of the overload controller
     GateTicket nextTicket { 1 };
     Instant upstreamDownUntil;
-    std::optional<Instant> drainingSince;
+    std::optional<Instant> drainingSince; // by the upstream's record
+    std::optional<Instant> leavingSince; // by its responses
     std::uint32_t slots { 0 };
-    InstanceId localInstance; // of the upstream beside this node
+    // The run of the upstream beside this node; empty until its record is known.
+    InstanceId localInstance;
+    std::uint64_t localStartedAt { 0 };
 };
 
 HopService::HopService(SidecarState& state, UpstreamTransport& upstream, Reply reply)
@@ -554,7 +572,7 @@
     service.state.retryBudget.removeIdleRoutes(now);
     if (!local)
         return;
-    service.localInstance = local->record.instance;
+    service.setLocalRun(local->record, now);
     if (!local->record.draining)
         service.drainingSince.reset();
     else if (!service.drainingSince)
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -45,6 +45,9 @@
 /// The last part of a leaving node's time: other nodes send no more requests, and running requests finish.
 constexpr Duration finalDrainTime = std::chrono::milliseconds(1200);
 
+/// Share of the operator's drain time in which a leaving upstream is still sent requests.
+constexpr double drainAcceptShare = 0.5;
+
 struct SidecarState {
     SidecarState(boost::asio::io_context& context, SidecarSettings given, const PlatformAdapter& platform,
         std::uint64_t seed)
@@ -78,9 +81,13 @@
     {
         upstreamSelector.recordLoadReport(vm, load, at);
         if (load.notice)
-            upstreamNotices.record(*load.notice);
+            upstreamNotices.record(*load.notice, directory, at);
     }
 
+    /// How long after the news that it is leaving an upstream is sent requests. Entry nodes that know of it
+    /// have stopped by then.
+    Duration drainAcceptTime() const { return fromSeconds(toSeconds(settings.drain) * drainAcceptShare); }
+
     bool isLeaving() const { return shutdownDeadline.has_value(); }
     /// Whether other nodes may send requests for the upstream. A leaving node accepts them until
     /// `finalDrainTime` before its end, because the fleet loses its upstream's slots when it stops.
--- a/test/correctness/PlatformItemsAreDecoded.cpp
+++ b/test/correctness/PlatformItemsAreDecoded.cpp
@@ -32,6 +32,7 @@
     CHECK(record.vm.text == "10.1.0.9");
     CHECK(record.slots == 94);
     CHECK(record.remainingColdTime == 1500ms);
+    CHECK(record.startedAt == 1771183592380);
     CHECK_FALSE(record.draining);
 }
 
