--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace Ebonystack {
@@ -85,6 +86,13 @@
     return json.is_null() ? std::nullopt : std::optional(json.get<double>());
 }
 
+/// A share from 0 to 1; 0 if it is no finite number from 0.
+double decodeShare(const Json& json)
+{
+    const auto share = json.get<double>();
+    return std::isfinite(share) && share >= 0 ? std::min(share, 1.0) : 0;
+}
+
 Json encodeLoad(const UpstreamLoad& load)
 {
     Json json = Json::array({ load.gate.running, load.gate.queued, load.gate.limit, load.shedShare,
@@ -208,7 +216,7 @@
 
 PeerFrame decodeRequest(const Json& json)
 {
-    const double repeatShare = json.size() > 12 ? std::clamp(json.at(12).get<double>(), 0.0, 1.0) : 0;
+    const double repeatShare = json.size() > 12 ? decodeShare(json.at(12)) : 0;
     const auto requestLimit = json.size() > 13 ? decodeOptional(json.at(13)) : std::nullopt;
     return HopRequest { json.at(0), { json.at(1) }, decodeDuration(json.at(2)), decodeDuration(json.at(3)),
         json.at(4), json.at(5), json.at(6), repeatShare, requestLimit, { json.at(7) }, json.at(8),
--- a/test/fuzz/PeerFramesHandleMalformedInput.cpp
+++ b/test/fuzz/PeerFramesHandleMalformedInput.cpp
@@ -3,6 +3,7 @@
 #include "protocol/PeerFrame.h"
 #include "state/RandomSource.h"
 
+#include <cmath>
 #include <doctest/doctest.h>
 
 using namespace Ebonystack;
@@ -91,3 +92,15 @@
     std::size_t consumed = 0;
     CHECK_FALSE(decodeFrame(std::string("\xff\xff\xff\xff", 4), consumed));
 }
+
+TEST_CASE("a repeat share that is no finite number from 0 is read as 0")
+{
+    for (const double number : { std::nan(""), -1.0, HUGE_VAL }) {
+        HopRequest request;
+        request.repeatShare = number;
+        std::size_t consumed = 0;
+        const auto decoded = decodeFrame(encodeFrame(request), consumed);
+        REQUIRE(decoded);
+        CHECK(std::get<HopRequest>(**decoded).repeatShare == 0);
+    }
+}
