--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -81,9 +81,13 @@
 
 Json encodeOptional(const std::optional<double>& number) { return number ? Json(*number) : Json(); }
 
+/// Nothing if the number is missing or no finite number from 0.
 std::optional<double> decodeOptional(const Json& json)
 {
-    return json.is_null() ? std::nullopt : std::optional(json.get<double>());
+    if (json.is_null())
+        return std::nullopt;
+    const auto number = json.get<double>();
+    return std::isfinite(number) && number >= 0 ? std::optional(number) : std::nullopt;
 }
 
 /// A share from 0 to 1; 0 if it is no finite number from 0.
--- a/test/fuzz/PeerFramesHandleMalformedInput.cpp
+++ b/test/fuzz/PeerFramesHandleMalformedInput.cpp
@@ -104,3 +104,15 @@
         CHECK(std::get<HopRequest>(**decoded).repeatShare == 0);
     }
 }
+
+TEST_CASE("a request limit that is no finite number from 0 is read as unknown")
+{
+    for (const double number : { std::nan(""), -1.0, HUGE_VAL }) {
+        HopRequest request;
+        request.knownRequestLimit = number;
+        std::size_t consumed = 0;
+        const auto decoded = decodeFrame(encodeFrame(request), consumed);
+        REQUIRE(decoded);
+        CHECK_FALSE(std::get<HopRequest>(**decoded).knownRequestLimit);
+    }
+}
