Remember a leaving upstream for its whole run, whatever its node reports later

Now only what the upstream has said since the node's start is reported, and leaving stays for the rest of the run, both at the node (LocalUpstream, which takes over the tracker and the draining state from the hop service) and at entry nodes. Entry nodes keep limits and leaving runs in two tables, so that placement costs nothing while no upstream is leaving.

--- /dev/null
+++ b/src/coordination/LocalUpstream.h
@@ -0,0 +1,44 @@
+// What a node knows of the run of the upstream beside it: by its record in the directory, by its responses,
+// and, after a restart of the node, by what entry nodes remember.
+#pragma once
+
+#include "state/Time.h"
+#include "state/UpstreamNotice.h"
+
+#include <optional>
+
+namespace Ebonystack {
+
+/// Not thread-safe.
+class LocalUpstream {
+public:
+    /// Called with the newest record at the upstream's address. Another run of an upstream has said nothing
+    /// yet: then the request limit may have changed.
+    void setRecord(const UpstreamRecord&, Instant now);
+    /// Called with the notice of each response whose request was sent at `sentAt`. Returns whether the
+    /// request limit has changed or the upstream has said for the first time that it is leaving.
+    bool onResponse(const UpstreamNotice&, Instant sentAt, Instant now);
+    /// Takes over a limit that an entry node remembers, until the upstream responds for the first time since
+    /// this node's start. Returns whether the request limit has changed.
+    bool adoptRequestLimit(double requestsPerSecond);
+
+    /// The requests per second that the upstream takes; nothing if it has named no limit.
+    std::optional<double> requestLimit() const { return m_requestLimit; }
+    /// What the upstream has said since this node's start; nothing until then.
+    std::optional<UpstreamNotice> notice() const;
+    bool isLeaving() const { return m_leavingSince.has_value(); }
+    /// Whether the record or the responses have said for `time` or longer that the upstream takes no
+    /// requests.
+    bool hasDrainedFor(Duration time, Instant now) const;
+
+private:
+    std::optional<UpstreamRecord> m_record;
+    std::optional<double> m_requestLimit;
+    Instant m_limitHeardAt; // when the last response with a limit arrived
+    bool m_hasResponded { false }; // since this node's start
+    bool m_hasGivenNotice { false }; // likewise
+    std::optional<Instant> m_drainingSince; // by the record
+    std::optional<Instant> m_leavingSince; // by the responses; stays for the rest of the run
+};
+
+} // namespace Ebonystack
--- a/src/coordination/SlotGate.cpp
+++ b/src/coordination/SlotGate.cpp
@@ -37,7 +37,7 @@
     return startWaiting(now);
 }
 
-bool SlotGate::restart(Instant now)
+bool SlotGate::startAgain(Instant now)
 {
     if (!m_pacer.mayStart(now))
         return false;
--- a/src/coordination/SlotGate.h
+++ b/src/coordination/SlotGate.h
@@ -46,7 +46,7 @@
     /// Returns the queued tickets that start now because of the time that has passed.
     std::vector<GateTicket> startDue(Instant now) { return startWaiting(now); }
     /// Counts another start of a running request against the request limit; false when that is used up.
-    bool restart(Instant now);
+    bool startAgain(Instant now);
 
     /// Refuses the request if it would start after its latest start, by `expectedWait`.
     GateDecision arrive(const GateRequest&, Instant now);
--- a/src/coordination/UpstreamNotices.cpp
+++ b/src/coordination/UpstreamNotices.cpp
@@ -1,4 +1,4 @@
-// Keeps the last notice of each instance.
+// Two small tables: most upstreams name no limit and are not leaving.
 #include "coordination/UpstreamNotices.h"
 
 namespace Ebonystack {
@@ -8,28 +8,32 @@
     const KnownUpstream* upstream = directory.find(notice.instance);
     if (!upstream)
         return;
-    KnownNotice& known = m_notices[notice.instance];
-    const bool wasLeaving = known.notice.leaving && known.startedAt == upstream->record.startedAt;
-    known = { notice, upstream->record.startedAt, wasLeaving ? known.leavingSince : now };
+    if (notice.requestsPerSecond)
+        m_requestLimits[notice.instance] = *notice.requestsPerSecond;
+    else
+        m_requestLimits.erase(notice.instance);
+    if (notice.leaving && !leavingSince(upstream->record))
+        m_leaving[notice.instance] = { upstream->record.startedAt, now };
 }
 
-std::optional<Instant> UpstreamNotices::leavingSince(const UpstreamRecord& record) const
+std::optional<double> UpstreamNotices::requestLimit(const InstanceId& instance) const
 {
-    const auto found = m_notices.find(record.instance);
-    const bool isLeaving = found != m_notices.end() && found->second.notice.leaving
-        && found->second.startedAt == record.startedAt;
-    return isLeaving ? std::optional(found->second.leavingSince) : std::nullopt;
+    const auto found = m_requestLimits.find(instance);
+    return found == m_requestLimits.end() ? std::nullopt : std::optional(found->second);
 }
 
-std::optional<double> UpstreamNotices::requestLimit(const InstanceId& instance) const
+std::optional<Instant> UpstreamNotices::leavingSince(const UpstreamRecord& record) const
 {
-    const auto found = m_notices.find(instance);
-    return found == m_notices.end() ? std::nullopt : found->second.notice.requestsPerSecond;
+    const auto found = m_leaving.find(record.instance);
+    const bool isLeaving = found != m_leaving.end() && found->second.startedAt == record.startedAt;
+    return isLeaving ? std::optional(found->second.since) : std::nullopt;
 }
 
 void UpstreamNotices::removeUnknown(const UpstreamDirectory& directory)
 {
-    std::erase_if(m_notices, [&](const auto& item) { return !directory.find(item.first); });
+    const auto isUnknown = [&](const auto& item) { return !directory.find(item.first); };
+    std::erase_if(m_requestLimits, isUnknown);
+    std::erase_if(m_leaving, isUnknown);
 }
 
 } // namespace Ebonystack
--- a/src/coordination/UpstreamNotices.h
+++ b/src/coordination/UpstreamNotices.h
@@ -15,6 +15,7 @@
 public:
     /// Called with the notice of each load report.
     void record(const UpstreamNotice&, const UpstreamDirectory&, Instant now);
+    bool knowsLeavingUpstreams() const { return !m_leaving.empty(); }
     /// Since when this run of the upstream is known to be leaving; nothing if it isn't.
     std::optional<Instant> leavingSince(const UpstreamRecord&) const;
     /// The limit that the upstream has named last; nothing when it named none.
@@ -23,13 +24,13 @@
     void removeUnknown(const UpstreamDirectory&);
 
 private:
-    struct KnownNotice {
-        UpstreamNotice notice;
-        std::uint64_t startedAt { 0 }; // of the upstream's run, see UpstreamRecord
-        Instant leavingSince; // if the notice says so
+    struct LeavingRun {
+        std::uint64_t startedAt { 0 }; // see UpstreamRecord
+        Instant since; // when this node heard of it
     };
 
-    std::map<InstanceId, KnownNotice> m_notices;
+    std::map<InstanceId, double> m_requestLimits; // per second
+    std::map<InstanceId, LeavingRun> m_leaving;
 };
 
 } // namespace Ebonystack
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -282,6 +282,8 @@
     /// if there are others.
     void removeLeaving(std::vector<const KnownUpstream*>& upstreams) const
     {
+        if (!state.upstreamNotices.knowsLeavingUpstreams())
+            return;
         const auto isLeaving = [&](const KnownUpstream* upstream) {
             return state.upstreamNotices.leavingSince(upstream->record).has_value();
         };
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -1,8 +1,8 @@
 // Keeps one job per request. A job waits at the gate, runs at the upstream and ends with a response.
 #include "transport/HopService.h"
 
+#include "coordination/LocalUpstream.h"
 #include "coordination/SlotGate.h"
-#include "coordination/UpstreamNoticeTracker.h"
 #include "protocol/UpstreamNoticeDecoder.h"
 
 #include <algorithm>
@@ -72,18 +72,10 @@
 
     UpstreamLoad load(Instant now) const
     {
-        const bool acceptsRequests = state.acceptsPeerRequests() && now >= upstreamDownUntil && !leavingSince;
+        const bool acceptsRequests
+            = state.acceptsPeerRequests() && now >= upstreamDownUntil && !localUpstream.isLeaving();
         return { gate.state(), overloadController.shedShare(), gate.meanServiceTime(), acceptsRequests,
-            notice() };
-    }
-
-    /// The notice in force, with the upstream's instance.
-    std::optional<UpstreamNotice> notice() const
-    {
-        auto notice = noticeTracker.notice();
-        if (notice)
-            notice->instance = localInstance;
-        return notice;
+            localUpstream.notice() };
     }
 
     void request(const HopOrigin& origin, HopRequest request)
@@ -98,7 +90,7 @@
         job->request = std::move(request);
         jobs[{ origin, job->request.number }] = job;
         ++openJobs;
-        if (isDrained(drainingSince, now) || isDrained(leavingSince, now))
+        if (localUpstream.hasDrainedFor(state.drainAcceptTime(), now))
             return finishNotRun(job, HopReason::UpstreamDraining);
         if (!state.canFinish(job->deadline))
             return finishNotRun(job, HopReason::NodeLeaving);
@@ -108,8 +100,8 @@
         const Duration maxWait = fromSeconds(toSeconds(job->request.remainingTime) * gateWaitShare);
         const Instant maxWaitEnd = now + std::min(maxWait, job->request.maxGateWait);
         if (job->request.knownRequestLimit
-            && noticeTracker.adopt({ {}, job->request.knownRequestLimit, false }))
-            applyNotice(now);
+            && localUpstream.adoptRequestLimit(*job->request.knownRequestLimit))
+            applyRequestLimit(now);
         if (isRepeat(*job) && !takeRepeat(*job, now))
             return finishNotRun(job, HopReason::RetryBudgetSpent);
         if (!job->request.isRedispatch)
@@ -123,11 +115,6 @@
             startJob(job->ticket, now);
     }
 
-    bool isDrained(const std::optional<Instant>& since, Instant now) const
-    {
-        return since && now - *since > state.drainAcceptTime();
-    }
-
     /// The probability that the last arrival of the job's request at the upstream is a repeat.
     static double repeatShareOf(const Job& job) { return job.resent ? 1 : job.request.repeatShare; }
     static bool isRepeat(const Job& job) { return repeatShareOf(job) >= 1; }
@@ -272,8 +259,8 @@
     bool mayResend(Job& job, const UpstreamResult& result, Instant now)
     {
         return result.kind == UpstreamResult::Kind::Lost && result.nothingReceived && result.reused
-            && !job.resent && job.request.idempotent && job.deadline - now > minTimeToRun && gate.restart(now)
-            && takeRepeat(job, now);
+            && !job.resent && job.request.idempotent && job.deadline - now > minTimeToRun
+            && gate.startAgain(now) && takeRepeat(job, now);
     }
 
     HopResponse makeResponse(const Job& job, UpstreamResult result, Instant now)
@@ -325,19 +312,18 @@
             return state.log.state("upstream notice not usable", now, [&] {
                 return nlohmann::json { { "reason", notice.error() } };
             });
-        if (noticeTracker.onResponse(*notice, job.sentAt, now))
-            applyNotice(now);
+        if (!localUpstream.onResponse(*notice, job.sentAt, now))
+            return;
+        applyRequestLimit(now);
+        state.log.state("upstream notice", now, [&] {
+            return nlohmann::json { { "requestsPerSecond", localUpstream.requestLimit().value_or(-1) },
+                { "leaving", localUpstream.isLeaving() } };
+        });
     }
 
-    void applyNotice(Instant now)
+    void applyRequestLimit(Instant now)
     {
-        const UpstreamNotice notice = noticeTracker.notice().value_or(UpstreamNotice {});
-        leavingSince = notice.leaving ? leavingSince.value_or(now) : std::optional<Instant>();
-        startJobs(gate.setRequestLimit(notice.requestsPerSecond, now), now);
-        state.log.state("upstream notice", now, [&] {
-            return nlohmann::json { { "requestsPerSecond", notice.requestsPerSecond.value_or(-1) },
-                { "leaving", notice.leaving } };
-        });
+        startJobs(gate.setRequestLimit(localUpstream.requestLimit(), now), now);
     }
 
     /// Whether the response is the upstream's own: upstreams put their seal field on each success response
@@ -350,19 +336,6 @@
         return head.fields.find(names().seal) && !head.fields.find("Content-Encoding");
     }
 
-    /// Forgets what the upstream has said when another run of it has taken its address.
-    void setLocalRun(const UpstreamRecord& record, Instant now)
-    {
-        const bool isSameRun = localInstance == record.instance && localStartedAt == record.startedAt;
-        if (!localInstance.empty() && !isSameRun) {
-            noticeTracker.reset();
-            leavingSince.reset();
-            startJobs(gate.setRequestLimit(std::nullopt, now), now);
-        }
-        localInstance = record.instance;
-        localStartedAt = record.startedAt;
-    }
-
     void finishNotRun(const JobPtr& job, HopReason reason)
     {
         HopResponse response;
@@ -517,7 +490,7 @@
     Reply reply;
     SlotGate gate;
     OverloadController overloadController;
-    UpstreamNoticeTracker noticeTracker;
+    LocalUpstream localUpstream;
     std::map<JobKey, JobPtr> jobs; // those that wait or run, and ended non-idempotent ones that are retained
     std::size_t openJobs { 0 }; // jobs that wait or run
     std::unordered_map<GateTicket, JobPtr> waiting; // jobs at the gate
@@ -525,12 +498,7 @@
     std::uint32_t arrivals { 0 }; // since the last observation of the overload controller
     GateTicket nextTicket { 1 };
     Instant upstreamDownUntil;
-    std::optional<Instant> drainingSince; // by the upstream's record
-    std::optional<Instant> leavingSince; // by its responses
     std::uint32_t slots { 0 };
-    // The run of the upstream beside this node; empty until its record is known.
-    InstanceId localInstance;
-    std::uint64_t localStartedAt { 0 };
 };
 
 HopService::HopService(SidecarState& state, UpstreamTransport& upstream, Reply reply)
@@ -572,11 +540,8 @@
     service.state.retryBudget.removeIdleRoutes(now);
     if (!local)
         return;
-    service.setLocalRun(local->record, now);
-    if (!local->record.draining)
-        service.drainingSince.reset();
-    else if (!service.drainingSince)
-        service.drainingSince = now;
+    service.localUpstream.setRecord(local->record, now);
+    service.applyRequestLimit(now);
     if (local->record.slots != service.slots) {
         service.slots = local->record.slots;
         service.startJobs(service.gate.setSlots(service.slots, now), now);
@@ -597,8 +562,6 @@
         service.gate.state(), std::exchange(service.arrivals, 0), service.gate.meanServiceTime(), now);
 }
 
-std::optional<UpstreamNotice> HopService::notice() const { return m_internals->notice(); }
-
 UpstreamLoad HopService::load() const { return m_internals->load(m_internals->state.now()); }
 
 std::size_t HopService::openCount() const { return m_internals->openJobs; }
--- a/src/transport/HopService.h
+++ b/src/transport/HopService.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include "protocol/PeerFrame.h"
-#include "state/UpstreamNotice.h"
 #include "transport/PeerLinks.h"
 #include "transport/SidecarState.h"
 #include "transport/UpstreamTransport.h"
@@ -40,8 +39,6 @@
     void tick(Instant now);
 
     UpstreamLoad load() const;
-    /// The notice of the upstream that is in force; nothing until it has given one.
-    std::optional<UpstreamNotice> notice() const;
     /// The number of requests that wait or run.
     std::size_t openCount() const;
 
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -401,7 +401,7 @@
     {
         const SidecarStats stats { m_hop.load(), m_callers.connectionCount(), m_pool.connectionCount(),
             m_pool.openedCount(), m_links.upCount(), m_store.callCount(), m_entry.openCount(),
-            m_hop.openCount(), m_mirror.revision(), m_hop.notice().value_or(UpstreamNotice {}) };
+            m_hop.openCount(), m_mirror.revision() };
         return { 200, "text/plain; version=0.0.4", writeSidecarMetrics(m_state, stats) };
     }
 
--- a/src/transport/SidecarMetrics.cpp
+++ b/src/transport/SidecarMetrics.cpp
@@ -61,12 +61,12 @@
     families.push_back(
         makeGauge("ebony_gate_limit", "Requests that may run at once.", stats.load.gate.limit));
     families.push_back(makeGauge("ebony_shed_share", "Share of the demand to refuse.", stats.load.shedShare));
-    if (stats.upstreamNotice.requestsPerSecond)
+    const UpstreamNotice notice = stats.load.notice.value_or(UpstreamNotice {});
+    if (notice.requestsPerSecond)
         families.push_back(makeGauge("ebony_upstream_request_limit",
-            "Requests a second that the upstream takes, while it names a limit.",
-            *stats.upstreamNotice.requestsPerSecond));
-    families.push_back(makeGauge("ebony_upstream_leaving", "1 while the upstream says that it is leaving.",
-        stats.upstreamNotice.leaving ? 1 : 0));
+            "Requests a second that the upstream takes, while it names a limit.", *notice.requestsPerSecond));
+    families.push_back(makeGauge(
+        "ebony_upstream_leaving", "1 while the upstream says that it is leaving.", notice.leaving ? 1 : 0));
     families.push_back(makeGauge(
         "ebony_hold_seconds", "Mean time for which a slot is held.", toSeconds(stats.load.meanServiceTime)));
     families.push_back(makeGauge(
--- a/src/transport/SidecarMetrics.h
+++ b/src/transport/SidecarMetrics.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "state/UpstreamLoad.h"
-#include "state/UpstreamNotice.h"
 #include "transport/SidecarState.h"
 
 #include <compare>
@@ -22,7 +21,6 @@
     std::size_t openCalls { 0 };
     std::size_t openHops { 0 };
     std::uint64_t storeRevision { 0 };
-    UpstreamNotice upstreamNotice;
 
     auto operator<=>(const SidecarStats&) const = default;
 };
