Soak: upstreams that name limits or say that they are leaving, among the other faults

Checks that a limit is kept from 3 s after it is named, whoever restarts, and that a leaving upstream gets nothing after the drain time unless its own node was disturbed.

--- a/test/soak/SoakFakes.cpp
+++ b/test/soak/SoakFakes.cpp
@@ -10,6 +10,11 @@
 
 using Json = nlohmann::json;
 
+constexpr std::chrono::seconds limitGrace { 3 };
+constexpr std::chrono::seconds limitWindow { 4 };
+/// After the first response of an upstream that says it is leaving, plus time for requests under way.
+constexpr std::chrono::milliseconds drainTime { 2500 };
+
 std::string response(int status, const std::string& body, const std::string& fields = {})
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields
@@ -174,14 +179,68 @@
         m_observations.violations.push_back(
             "wrong team or calling service at the upstream with request " + id);
     ++m_observations.executions[id];
+    checkArrival(id);
     const bool lost = m_random.below(requestsPerLostConnection) == 0;
     auto timer = std::make_shared<boost::asio::steady_timer>(
         m_io, std::chrono::milliseconds(3 + m_random.below(40)));
-    timer->async_wait([timer, respond = std::move(respond), id, lost](const boost::system::error_code&) {
-        respond(lost ? ""
-                     : response(200, "ok:" + id,
-                         "Ebonystack-Attempt-Id: " + id + "\r\nEbonystack-Server-Seal: s\r\n"));
+    timer->async_wait([this, timer, respond = std::move(respond), id, lost](
+                          const boost::system::error_code&) {
+        respond(lost
+                ? ""
+                : response(200, "ok:" + id,
+                    "Ebonystack-Attempt-Id: " + id + "\r\nEbonystack-Server-Seal: s\r\n" + noticeFields()));
     });
 }
 
+void FakeUpstream::nameLimit(double requestsPerSecond)
+{
+    m_limit = requestsPerSecond;
+    m_limitNamedAt.reset();
+    m_limitedArrivals.clear();
+}
+
+void FakeUpstream::leave()
+{
+    m_leaving = true;
+    m_leavingNamedAt.reset();
+    m_lateArrivalsCount = true;
+}
+
+void FakeUpstream::startAgain()
+{
+    m_leaving = false;
+    m_leavingNamedAt.reset();
+    nameLimit(0);
+}
+
+std::string FakeUpstream::noticeFields()
+{
+    std::string fields;
+    if (m_limit > 0) {
+        fields += "Server-Limit: " + std::to_string(m_limit) + "\r\n";
+        m_limitNamedAt = m_limitNamedAt.value_or(Clock::now());
+    }
+    if (m_leaving) {
+        fields += "Server-Leaving: 1\r\n";
+        m_leavingNamedAt = m_leavingNamedAt.value_or(Clock::now());
+    }
+    return fields;
+}
+
+void FakeUpstream::checkArrival(const std::string& id)
+{
+    const auto now = Clock::now();
+    if (m_leavingNamedAt && m_lateArrivalsCount && now > *m_leavingNamedAt + drainTime)
+        m_observations.violations.push_back("request " + id + " reached an upstream that was leaving");
+    if (!m_limitNamedAt || now < *m_limitNamedAt + limitGrace)
+        return;
+    m_limitedArrivals.push_back(now);
+    while (m_limitedArrivals.front() <= now - limitWindow)
+        m_limitedArrivals.pop_front();
+    const double tolerated = 1.5 * m_limit * static_cast<double>(limitWindow.count()) + 5;
+    if (static_cast<double>(m_limitedArrivals.size()) > tolerated)
+        m_observations.violations.push_back(std::to_string(m_limitedArrivals.size())
+            + " arrivals in 4 s at an upstream that names " + std::to_string(m_limit) + " a second");
+}
+
 } // namespace Ebonystack::Soak
--- a/test/soak/SoakFakes.h
+++ b/test/soak/SoakFakes.h
@@ -8,9 +8,12 @@
 #include "transport/StreamAcceptor.h"
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -83,12 +86,31 @@
     FakeUpstream(boost::asio::io_context&, const std::string& address, std::string instance,
         UpstreamObservations&, std::uint64_t seed);
     void closeConnections() { m_server.closeConnections(); }
+    /// Names a limit in all responses from now on, in requests per second; 0 names none.
+    void nameLimit(double requestsPerSecond);
+    /// Says in all responses from now on that the upstream is leaving.
+    void leave();
+    /// Becomes another run of the upstream, which is not leaving.
+    void startAgain();
+    /// The node beside the upstream may have forgotten that it is leaving.
+    void excuseLateArrivals() { m_lateArrivalsCount = false; }
 
 private:
+    using Clock = std::chrono::steady_clock;
+
     void handle(const HttpRequest&, FakeHttpServer::ResponseCallback);
+    void checkArrival(const std::string& id);
+    /// The fields of a response in which the upstream speaks of itself.
+    std::string noticeFields();
 
     boost::asio::io_context& m_io;
     std::string m_instance;
+    double m_limit { 0 };
+    bool m_leaving { false };
+    bool m_lateArrivalsCount { false };
+    std::optional<Clock::time_point> m_limitNamedAt; // the first response with it
+    std::optional<Clock::time_point> m_leavingNamedAt;
+    std::deque<Clock::time_point> m_limitedArrivals; // within the last limitWindow
     UpstreamObservations& m_observations;
     RandomSource m_random;
     FakeHttpServer m_server;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -5,6 +5,8 @@
 // - a non-idempotent request runs at most once, and not at all when its refusal says so
 // - a valid request is not refused with 401 or 404
 // - no API key reaches an upstream, and the upstream sees the caller's team and service
+// - an upstream that names a limit gets no more than 1.5 times that, plus 5, in any 4 s from 3 s after
+// - an upstream that says it is leaving gets no requests after the drain time, unless its node was disturbed
 // - reads are served again after the faults
 #include "SoakFakes.h"
 #include "process/ChildProcess.h"
@@ -122,7 +124,7 @@
     void putUpstreamRecord(std::uint64_t node)
     {
         m_store.put("servers/i-" + std::to_string(node),
-            nlohmann::json { { "address", address(node, upstreamPort) },
+            nlohmann::json { { "address", address(node, upstreamPort) }, { "born", ++m_lastStart },
                 { "info", { { "service", "registry" }, { "zone", "a" }, { "slots", 40 } } },
                 { "status", { { "state", "ready" }, { "cold_left", "0ms" } } } }
                 .dump());
@@ -209,13 +211,14 @@
             return;
         static constexpr std::array faults { &SoakRun::killNode, &SoakRun::pauseNode, &SoakRun::stopNode,
             &SoakRun::storeOutage, &SoakRun::dropUpstreamConnections, &SoakRun::changeConfig,
-            &SoakRun::reloadNode };
+            &SoakRun::reloadNode, &SoakRun::limitUpstream, &SoakRun::leaveUpstream };
         (this->*faults[m_random.below(faults.size())])(m_random.below(FLAGS_nodes));
         after(std::chrono::milliseconds(150 + m_random.below(900)), [this] { scheduleFault(); });
     }
 
     void killNode(std::uint64_t node)
     {
+        m_upstreams[node]->excuseLateArrivals();
         m_nodes[node]->signal(SIGCONT);
         m_nodes[node]->signal(SIGKILL);
         restartLater(node, std::chrono::milliseconds(100 + m_random.below(1000)));
@@ -223,12 +226,14 @@
 
     void stopNode(std::uint64_t node)
     {
+        m_upstreams[node]->excuseLateArrivals();
         m_nodes[node]->signal(SIGTERM);
         restartLater(node, std::chrono::milliseconds(3500 + m_random.below(1000)));
     }
 
     void pauseNode(std::uint64_t node)
     {
+        m_upstreams[node]->excuseLateArrivals();
         m_nodes[node]->signal(SIGSTOP);
         after(std::chrono::milliseconds(100 + m_random.below(2500)),
             [this, node] { m_nodes[node]->signal(SIGCONT); });
@@ -248,6 +253,25 @@
         after(std::chrono::milliseconds(200 + m_random.below(2500)), [this] { m_store.setDown(false); });
     }
 
+    void limitUpstream(std::uint64_t node)
+    {
+        m_upstreams[node]->nameLimit(1 + static_cast<double>(m_random.below(12)));
+        after(std::chrono::milliseconds(3000 + m_random.below(5000)),
+            [this, node] { m_upstreams[node]->nameLimit(0); });
+    }
+
+    void leaveUpstream(std::uint64_t node)
+    {
+        m_upstreams[node]->leave();
+        after(std::chrono::milliseconds(1000 + m_random.below(4000)), [this, node] { startAgain(node); });
+    }
+
+    void startAgain(std::uint64_t node)
+    {
+        m_upstreams[node]->startAgain();
+        putUpstreamRecord(node);
+    }
+
     void dropUpstreamConnections(std::uint64_t node) { m_upstreams[node]->closeConnections(); }
     void changeConfig(std::uint64_t) { putConfig(); }
     void reloadNode(std::uint64_t node) { m_nodes[node]->signal(SIGHUP); }
@@ -256,6 +280,7 @@
     {
         m_store.setDown(false);
         for (std::uint64_t node = 0; node < FLAGS_nodes; ++node) {
+            startAgain(node);
             m_nodes[node]->signal(SIGCONT);
             restartLater(node, 200ms);
             restartLater(node, recoveryTime - checkedTime - 2500ms);
@@ -315,6 +340,7 @@
     std::vector<std::unique_ptr<ChildProcess>> m_nodes;
     std::map<std::string, SentRequest> m_sent;
     unsigned m_version { 0 };
+    std::uint64_t m_lastStart { 0 }; // of an upstream, see UpstreamRecord::startedAt
     int m_nodeStarts { 0 };
     bool m_sending { true };
     bool m_checking { false };
