--- a/tools/lab/SimulatedUpstream.cpp
+++ b/tools/lab/SimulatedUpstream.cpp
@@ -65,11 +65,10 @@
         if (const auto self = weak.lock())
             self->finish(execution, statusTimeout);
     });
-    if (occurs(m_rejectedShare))
-        reject(execution);
-    else if (m_running < m_slots)
+    const bool isRejected = occurs(m_rejectedShare);
+    if (!isRejected && m_running < m_slots)
         start(execution);
-    else if (m_waiting.size() < maxQueueLength)
+    else if (!isRejected && m_waiting.size() < maxQueueLength)
         m_waiting.push_back(execution);
     else
         reject(execution);
