--- a/src/coordination/LocalUpstream.h
+++ b/src/coordination/LocalUpstream.h
@@ -12,8 +12,7 @@
 /// Not thread-safe.
 class LocalUpstream {
 public:
-    /// Called with the newest record at the upstream's address. Another run of an upstream has said nothing
-    /// yet: then the request limit may have changed.
+    /// Called with the newest record at the upstream's address. What another run there has said is forgotten.
     void setRecord(const UpstreamRecord&, Instant now);
     /// Called with the notice of each response whose request was sent at `sentAt`. Returns whether the
     /// request limit has changed or the upstream has said for the first time that it is leaving.
--- a/src/coordination/RetryWindow.h
+++ b/src/coordination/RetryWindow.h
@@ -6,6 +6,7 @@
 
 #include "state/Time.h"
 
+#include <algorithm>
 #include <array>
 #include <compare>
 #include <cstdint>
@@ -24,7 +25,7 @@
 class RetryWindow {
 public:
     explicit RetryWindow(Duration window)
-        : m_bucketLength(window / bucketsPerWindow)
+        : m_bucketLength(std::max(window / bucketsPerWindow, Duration(1)))
     {
     }
 
--- a/tools/lab/SimulatedUpstream.cpp
+++ b/tools/lab/SimulatedUpstream.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t maxQueueLength = 108; // what most services state for their upstreams
 constexpr double coldSlowdown = 2; // likewise
 constexpr Duration shedResponseDelay = 500us; // the time to reject a request
-/// Of the limit that an upstream names, and arrivals in addition.
+/// Arrivals that an upstream which names a limit tolerates: this multiple of the limit, plus toleratedExtra.
 constexpr double toleratedExcess = 1.5;
 constexpr double toleratedExtra = 5;
 constexpr std::uint16_t statusOk = 200;
