Log and export how long the store has been silent to a node

"store lost" names the call that failed and the time since the store's last response; ebony_store_silence_seconds is that time now.

--- a/src/transport/SidecarMetrics.cpp
+++ b/src/transport/SidecarMetrics.cpp
@@ -81,6 +81,9 @@
         "ebony_open_hops", "Requests for the upstream under way.", static_cast<double>(stats.openHops)));
     families.push_back(makeGauge("ebony_store_revision", "Changes of the store known up to.",
         static_cast<double>(stats.storeRevision)));
+    if (stats.storeSilence)
+        families.push_back(makeGauge("ebony_store_silence_seconds",
+            "Time since the store's last response to this node.", toSeconds(*stats.storeSilence)));
     families.push_back(makeGauge("ebony_config_version", "Version of the configuration in force.",
         state.config ? static_cast<double>(state.config->config().version) : 0));
     return prometheus::TextSerializer().Serialize(families);
--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -50,6 +50,7 @@
         std::string input;
         std::optional<TimerId> timeout; // of the call in flight, or the delay before the next call
         bool probing { false }; // the call in flight is a probe
+        Instant sentAt; // when the call in flight was sent
         std::vector<StoreItem> listedItems; // from the pages received so far
         std::uint64_t listRevision { 0 }; // of the listing's first page; 0: no page yet
         int failures { 0 }; // in a row
@@ -137,6 +138,7 @@
         connection->parser.emplace(false, maxBodyBytes);
         connection->input.clear();
         ++calls;
+        connection->sentAt = monotonicNow();
         schedule(timeout, &Internals::onTimeout);
         connection->stream->write(writeRequest(head, {}));
     }
@@ -144,6 +146,13 @@
     /// Whether all keys are listed, so that the next call is a watch or a probe.
     bool hasListing() const { return hasListed && !mustListAgain; }
 
+    std::string_view describeCall() const
+    {
+        if (!hasListing())
+            return "listing";
+        return connection->probing ? "probe" : "watch";
+    }
+
     void onTimeout() { fail("no response before the timeout"); }
 
     void onBytes(std::string_view bytes)
@@ -271,7 +280,8 @@
         if (connection->failures++ == 0) {
             log.state("store lost", now, [&] {
                 return nlohmann::json { { "prefix", adapter.publishedPrefix() }, { "reason", reason },
-                    { "revision", mirror.revision() } };
+                    { "revision", mirror.revision() }, { "call", describeCall() },
+                    { "silentMs", toMilliseconds(now - lastSuccessAt.value_or(connection->sentAt)) } };
             });
         }
         const Duration backoff
