Renew a watch that hears nothing, instead of taking its silence for a store without changes

Callers saw: requests handled by an older version up to 3.8 s after a newer one was acknowledged (CONFIG, bound 2 s), on all nodes at once.

Cause: a watch waited up to 25 s, and while it was pending its node counted as a reader that reaches the store. When the connections of all watches went silent, only TCP keep-alive ended them, 5 s later; no peer had a later revision that would have shown it.

Why this works: a reader's watch waits 1.4 s and is made again on a new connection when 0.5 s later there is no response, so a node can miss changes for 1.9 s at most, whatever the connection does, and roles, links and pushes stay as they are. The timeout follows the store's response times, so a slow store isn't given up. A watch that ends without changes is renewed at once: the pause between watches, which collects changes, would otherwise delay them. A standby that becomes reader shortens its watch.

--- /dev/null
+++ b/src/coordination/StoreCallTimeout.h
@@ -0,0 +1,23 @@
+// When a call to the store that got no response counts as silent, so that it is made again on a new
+// connection. The bound is short, because a pending watch that hears nothing looks like a store without
+// changes, and follows the store's response times, because a slow store is not a silent one.
+#pragma once
+
+#include "state/Time.h"
+
+namespace Ebonystack {
+
+/// Not thread-safe.
+class StoreCallTimeout {
+public:
+    /// Called with the time from a call to its response, without the time that the store was asked to wait.
+    void recordResponseTime(Duration);
+    /// How long after the call, or after the time that the store was asked to wait, it counts as silent.
+    /// `isRetry`: the call before it failed.
+    Duration silentAfter(bool isRetry) const;
+
+private:
+    Duration m_slowestResponse { 0 }; // of the last calls; decays
+};
+
+} // namespace Ebonystack
--- a/src/coordination/StoreRoles.cpp
+++ b/src/coordination/StoreRoles.cpp
@@ -17,8 +17,11 @@
 constexpr Duration readerIntervalPerDataCentre = 150ms;
 constexpr Duration minReaderInterval = 250ms;
 constexpr Duration maxReaderInterval = 1s;
-/// A standby's interval in the reader's. It is woken by few of the changes that the reader has passed on by
-/// then.
+/// With the time in which a silent call is noticed, shorter than the shortest outage in which records lapse:
+/// a silent connection to a store that responds to others is not taken for one.
+constexpr Duration readerWatchWait = 1400ms;
+/// A standby's interval and wait in the reader's. It is woken by few of the changes that the reader has
+/// passed on by then.
 constexpr int standbyFactor = 3;
 /// An outage of the store in which records lapse lasts at least as long, so no node misses it.
 constexpr Duration probeInterval = 3s;
@@ -60,6 +63,15 @@
     return probeInterval;
 }
 
+StoreCallPlan callPlanOf(StoreRole role, std::size_t dataCentres)
+{
+    StoreCallPlan plan;
+    plan.mode = role == StoreRole::Follower ? StoreMode::Probe : StoreMode::Watch;
+    plan.interval = callIntervalOf(role, dataCentres);
+    plan.watchWait = role == StoreRole::Reader ? readerWatchWait : readerWatchWait * standbyFactor;
+    return plan;
+}
+
 std::string_view describe(StoreRole role)
 {
     constexpr std::array<std::string_view, 3> names { "reader", "standby", "follower" };
--- a/src/coordination/StoreRoles.h
+++ b/src/coordination/StoreRoles.h
@@ -39,6 +39,25 @@
 /// probes.
 Duration callIntervalOf(StoreRole, std::size_t dataCentres);
 
+enum class StoreMode : std::uint8_t {
+    Watch, ///< each change is read from the store
+    Probe, ///< the changes come from peers
+};
+
+/// How a node calls the store.
+struct StoreCallPlan {
+    StoreMode mode { StoreMode::Watch };
+    Duration interval { std::chrono::milliseconds(
+        250) }; ///< between two probes, or after a watch with changes
+    /// How long a watch waits for a change. A connection can go silent without an end, so this bounds how
+    /// long a node can miss changes without noticing.
+    Duration watchWait { std::chrono::milliseconds(1400) };
+
+    auto operator<=>(const StoreCallPlan&) const = default;
+};
+
+StoreCallPlan callPlanOf(StoreRole, std::size_t dataCentres);
+
 std::string_view describe(StoreRole);
 
 } // namespace Ebonystack
--- a/src/transport/StoreFeed.cpp
+++ b/src/transport/StoreFeed.cpp
@@ -32,7 +32,7 @@
 {
     m_startedAt = now;
     m_reader.subscribe([this] { push(); });
-    setMode();
+    setPlan();
     m_reader.start(now);
 }
 
@@ -41,7 +41,7 @@
     m_localPeers = m_state.directory.vmsIn(m_state.settings.dataCentre);
     std::erase(m_localPeers, m_state.settings.vm);
     m_dataCentres = m_state.directory.dataCentreCount();
-    setMode();
+    setPlan();
 }
 
 void StoreFeed::tick(Instant now)
@@ -72,13 +72,12 @@
     if (m_role == StoreRole::Follower)
         m_relay.startPushing();
     m_role = role;
-    setMode();
+    setPlan();
 }
 
-void StoreFeed::setMode()
+void StoreFeed::setPlan()
 {
-    m_reader.setMode(m_role == StoreRole::Follower ? StoreMode::Probe : StoreMode::Watch,
-        callIntervalOf(m_role, m_dataCentres));
+    m_reader.setPlan(callPlanOf(m_role, m_dataCentres));
 }
 
 void StoreFeed::push()
--- a/src/transport/StoreFeed.h
+++ b/src/transport/StoreFeed.h
@@ -35,7 +35,7 @@
 private:
     std::vector<StoreRoleCandidate> candidates(Instant now) const;
     void setRole(StoreRole, Instant now);
-    void setMode();
+    void setPlan();
     void push();
 
     SidecarState& m_state;
--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -1,6 +1,7 @@
 // One connection to the store, which a pending watch occupies.
 #include "transport/StoreReader.h"
 
+#include "coordination/StoreCallTimeout.h"
 #include "transport/ByteStream.h"
 #include "transport/HttpCodec.h"
 #include "transport/SystemClock.h"
@@ -17,9 +18,6 @@
 constexpr Duration connectTimeout = 700ms;
 /// The store responds within a few milliseconds; a slow one takes some hundred milliseconds.
 constexpr Duration listTimeout = 3s;
-/// How long one watch waits for a change. Long, because each call to the store has a cost.
-constexpr Duration watchWait = 25s;
-constexpr Duration watchTimeoutMargin = 2s;
 constexpr Duration recoveryWait = 1ms;
 /// Backoff after failed calls, doubled with each failure up to the maximum. Jitter spreads the nodes' calls.
 constexpr Duration initialBackoff = 80ms;
@@ -29,8 +27,6 @@
 constexpr Duration minOutageForLapse = 2s;
 /// Calls that fail for longer make the store unreachable. A watch that lost its connection recovers sooner.
 constexpr Duration unreachableThreshold = 600ms;
-/// Before the first call of setMode.
-constexpr Duration initialInterval = 250ms;
 constexpr Duration probeTimeout = 1500ms;
 /// Minimum time between two reconnects of a watch that may be dead.
 constexpr Duration minReconnectInterval = 2s;
@@ -51,6 +47,7 @@
         std::optional<TimerId> timeout; // of the call in flight, or the delay before the next call
         bool probing { false }; // the call in flight is a probe
         Instant sentAt; // when the call in flight was sent
+        std::optional<Duration> watchWait; // of the watch in flight; nothing while another call is
         std::vector<StoreItem> listedItems; // from the pages received so far
         std::uint64_t listRevision { 0 }; // of the listing's first page; 0: no page yet
         int failures { 0 }; // in a row
@@ -117,16 +114,19 @@
             return connect();
         // After a failure the first watch returns at once, so that recovery is detected even if nothing
         // changes in the store.
-        const Duration wait = connection->failures > 0 ? recoveryWait : watchWait;
-        connection->probing = hasListing() && mode == StoreMode::Probe;
+        const bool isRetry = connection->failures > 0;
+        connection->probing = hasListing() && plan.mode == StoreMode::Probe;
+        connection->watchWait.reset();
         std::string target;
         Duration timeout = listTimeout;
         if (connection->probing) {
             target = adapter.probeTarget();
             timeout = probeTimeout;
         } else if (hasListing()) {
+            const Duration wait = isRetry ? recoveryWait : plan.watchWait;
             target = adapter.watchTarget(adapter.publishedPrefix(), mirror.revision(), wait);
-            timeout = wait + watchTimeoutMargin;
+            timeout = wait + callTimeout.silentAfter(isRetry);
+            connection->watchWait = wait;
         } else {
             target = adapter.pageTarget(adapter.publishedPrefix(),
                 connection->listedItems.empty() ? "" : connection->listedItems.back().key);
@@ -153,7 +153,7 @@
         return connection->probing ? "probe" : "watch";
     }
 
-    void onTimeout() { fail("no response before the timeout"); }
+    void onTimeout() { fail("no response before the timeout", true); }
 
     void onBytes(std::string_view bytes)
     {
@@ -180,7 +180,8 @@
         if (connection->probing) {
             if (status != statusOk && status != statusNotFound)
                 return fail("expected HTTP status 200 or 404, got " + std::to_string(status));
-            return onSuccess();
+            callTimeout.recordResponseTime(monotonicNow() - connection->sentAt);
+            return onSuccess(true);
         }
         if (status == statusGone && hasListing()) {
             mustListAgain = true;
@@ -193,12 +194,20 @@
         }
         if (status != statusOk)
             return fail("expected HTTP status 200, got " + std::to_string(status));
+        const std::uint64_t known = mirror.revision();
         const bool isApplied = hasListing() ? applyChanges(response.body) : applyPage(response.body);
-        if (isApplied)
-            onSuccess();
+        if (!isApplied)
+            return;
+        const Duration took = monotonicNow() - connection->sentAt;
+        const Duration wait = connection->watchWait.value_or(Duration::zero());
+        const bool hasWaited = connection->watchWait && mirror.revision() == known && took >= wait;
+        if (hasWaited || !connection->watchWait)
+            callTimeout.recordResponseTime(took - wait);
+        onSuccess(!hasWaited);
     }
 
-    void onSuccess()
+    /// `pauses`: the next call is made after the plan's interval, and not at once.
+    void onSuccess(bool pauses)
     {
         if (connection->failures > 0) {
             log.state("store regained", monotonicNow(), [&] {
@@ -207,17 +216,15 @@
             });
         }
         connection->failures = 0;
-        // An outage may have begun right after the last probe.
-        const auto outageSince = connection->probing && failingSince ? lastSuccessAt : failingSince;
         lastSuccessAt = monotonicNow();
-        if (outageSince && *lastSuccessAt - *outageSince >= minOutageForLapse)
+        if (failingSince && *lastSuccessAt - outageSince >= minOutageForLapse)
             recoveredAt = lastSuccessAt;
         failingSince.reset();
         if (!connection->probing && onChanges)
             onChanges();
-        if (hasListing())
-            schedule(
-                fromSeconds(toSeconds(interval) * (0.5 + random.uniform() / 2)), &Internals::sendRequest);
+        if (hasListing() && pauses)
+            schedule(fromSeconds(toSeconds(plan.interval) * (0.5 + random.uniform() / 2)),
+                &Internals::sendRequest);
         else
             sendRequest();
     }
@@ -270,13 +277,18 @@
         connection->parser.reset();
     }
 
-    void fail(const std::string& reason)
+    /// `isSilent`: there was no response, and none may have been possible since the last one.
+    void fail(const std::string& reason, bool isSilent = false)
     {
         closeStream();
         resetListing();
         const Instant now = monotonicNow();
-        if (!failingSince)
+        if (!failingSince) {
             failingSince = now;
+            outageSince = isSilent || connection->probing ? lastSuccessAt.value_or(now) : now;
+        }
+        // The connection alone may have gone silent; then a new one is the whole repair.
+        const bool retriesAtOnce = isSilent && connection->watchWait && connection->failures == 0;
         if (connection->failures++ == 0) {
             log.state("store lost", now, [&] {
                 return nlohmann::json { { "prefix", adapter.publishedPrefix() }, { "reason", reason },
@@ -286,7 +298,18 @@
         }
         const Duration backoff
             = std::min(maxBackoff, initialBackoff * (1 << std::min(connection->failures, 8)));
-        schedule(fromSeconds(toSeconds(backoff) * (0.5 + random.uniform())), &Internals::sendRequest);
+        schedule(
+            retriesAtOnce ? Duration::zero() : fromSeconds(toSeconds(backoff) * (0.5 + random.uniform())),
+            &Internals::sendRequest);
+    }
+
+    void shortenPendingWatch()
+    {
+        if (!connection->parser || !connection->watchWait || *connection->watchWait <= plan.watchWait)
+            return;
+        connection->watchWait = plan.watchWait;
+        const Instant due = connection->sentAt + plan.watchWait + callTimeout.silentAfter(false);
+        schedule(std::max<Duration>(due - monotonicNow(), Duration::zero()), &Internals::onTimeout);
     }
 
     void reconnect()
@@ -304,15 +327,16 @@
     std::string address;
     RandomSource random;
     const std::shared_ptr<Connection> connection { std::make_shared<Connection>() };
-    StoreMode mode { StoreMode::Watch }; // of the next call
+    StoreCallPlan plan; // of the next call
+    StoreCallTimeout callTimeout;
     bool hasListed { false }; // all keys, at least once
     bool mustListAgain { false }; // the history after the known revision is lost
     std::function<void()> onChanges;
     std::optional<Instant> failingSince; // set while calls fail
+    Instant outageSince; // while calls fail: the earliest time at which the store may have stopped responding
     std::optional<Instant> recoveredAt;
     std::optional<Instant> lastSuccessAt;
     std::optional<Instant> reconnectedAt;
-    Duration interval { initialInterval };
     std::uint64_t calls { 0 };
 };
 
@@ -343,12 +367,12 @@
     m_internals->onChanges = std::move(onChanges);
 }
 
-void StoreReader::setMode(StoreMode mode, Duration interval)
+void StoreReader::setPlan(const StoreCallPlan& plan)
 {
     Internals& reader = *m_internals;
-    const bool beginsToWatch = reader.mode == StoreMode::Probe && mode == StoreMode::Watch;
-    reader.interval = interval;
-    reader.mode = mode;
+    const bool beginsToWatch = reader.plan.mode == StoreMode::Probe && plan.mode == StoreMode::Watch;
+    reader.plan = plan;
+    reader.shortenPendingWatch();
     const bool isBetweenCalls
         = !reader.connection->parser && reader.connection->stream && reader.connection->failures == 0;
     if (beginsToWatch && reader.hasListing() && isBetweenCalls)
--- a/src/transport/StoreReader.h
+++ b/src/transport/StoreReader.h
@@ -1,9 +1,11 @@
 // Reads the platform's store: lists all keys once and then watches them for changes, or only probes whether
 // the store responds where another node passes the changes on. Lists again if the store has dropped the
-// history since the last known revision. Calls that fail or are rejected are retried with a jittered backoff.
+// history since the last known revision. Calls that fail or are rejected are retried with a jittered backoff; a
+// watch that has gone silent is made again at once on a new connection.
 #pragma once
 
 #include "coordination/StoreMirror.h"
+#include "coordination/StoreRoles.h"
 #include "coordination/TimerService.h"
 #include "protocol/PlatformAdapter.h"
 #include "state/RandomSource.h"
@@ -16,11 +18,6 @@
 
 namespace Ebonystack {
 
-enum class StoreMode : std::uint8_t {
-    Watch, ///< each change is read from the store
-    Probe, ///< the changes come from peers
-};
-
 /// Belongs to the event loop's thread.
 class StoreReader {
 public:
@@ -36,9 +33,9 @@
     /// pending watch, since it may be dead, at most once in 2 s.
     void reconnectStaleWatch(Instant now);
     void setAddress(std::string address);
-    /// `interval` is the time between two calls; one watch returns the changes that were made in it. Watching
-    /// begins at once, probing when the pending watch has ended.
-    void setMode(StoreMode, Duration interval);
+    /// Watching begins at once, probing when the pending watch has ended. A shorter wait also binds the
+    /// pending watch.
+    void setPlan(const StoreCallPlan&);
 
     /// The end of the last outage that was long enough for records to lapse; nullopt before the first.
     std::optional<Instant> recoveredAt() const;
--- a/test/correctness/StoreReaderListsAndWatches.cpp
+++ b/test/correctness/StoreReaderListsAndWatches.cpp
@@ -153,7 +153,7 @@
         calls.push_back(request.head.target);
         return calls.size() == 1 ? respond(emptyPage) : respond("{}", 404);
     });
-    fixture.reader.setMode(StoreMode::Probe, 20ms);
+    fixture.reader.setPlan({ StoreMode::Probe, 20ms });
     REQUIRE(fixture.runUntil([&] { return calls.size() == 4; }));
     for (std::size_t i = 1; i < calls.size(); ++i)
         CHECK(calls[i] == fixture.adapter.probeTarget());
@@ -166,7 +166,7 @@
     int calls = 0;
     StoreReaderFixture fixture(
         [&](const HttpRequest&) { return ++calls == 1 ? respond(emptyPage) : respond("", 503); });
-    fixture.reader.setMode(StoreMode::Probe, 20ms);
+    fixture.reader.setPlan({ StoreMode::Probe, 20ms });
     CHECK(fixture.runUntil([&] { return fixture.reader.isUnreachable(monotonicNow()); }));
 }
 
@@ -180,10 +180,54 @@
         }
         return respond(emptyPage);
     });
-    fixture.reader.setMode(StoreMode::Probe, 60s);
+    fixture.reader.setPlan({ StoreMode::Probe, 60s });
     REQUIRE(fixture.runUntil([&] { return fixture.mirror.revision() == 7; }));
     fixture.mirror.setCompleteRevision(8); // a peer has passed changes on
-    fixture.reader.setMode(StoreMode::Watch, 10ms);
+    fixture.reader.setPlan({ StoreMode::Watch, 10ms });
     REQUIRE(fixture.runUntil([&] { return !watches.empty(); }));
     CHECK(watches[0].find("after=8") != std::string::npos);
 }
+
+TEST_CASE("a change is read within 2 s although the connection of the pending watch has gone silent")
+{
+    int watches = 0;
+    StoreReaderFixture fixture([&](const HttpRequest& request) {
+        if (!isWatch(request))
+            return respond(emptyPage);
+        const bool isFirst = ++watches == 1;
+        return isFirst ? ScriptedResponse { "", false, true }
+                       : respond(R"({"events":[{"key":"a","revision":9,"tombstone":true}],"current_rev":9})");
+    });
+    REQUIRE(fixture.runUntil([&] { return watches == 1; }));
+    const Instant silentSince = monotonicNow();
+    REQUIRE(fixture.runUntil([&] { return fixture.mirror.revision() == 9; }));
+    CHECK(monotonicNow() - silentSince < 2s);
+}
+
+TEST_CASE("a standby that becomes reader doesn't wait for the silent watch of its standby time")
+{
+    int watches = 0;
+    StoreReaderFixture fixture([&](const HttpRequest& request) {
+        if (!isWatch(request))
+            return respond(emptyPage);
+        ++watches;
+        return ScriptedResponse { "", false, true };
+    });
+    fixture.reader.setPlan({ StoreMode::Watch, 20ms, 60s });
+    REQUIRE(fixture.runUntil([&] { return watches == 1; }));
+    fixture.reader.setPlan({ StoreMode::Watch, 20ms, 100ms });
+    CHECK(fixture.runUntil([&] { return watches == 2; }));
+}
+
+TEST_CASE("a watch that ends without changes is renewed without a pause, in which changes would not be read")
+{
+    int watches = 0;
+    StoreReaderFixture fixture([&](const HttpRequest& request) {
+        if (!isWatch(request))
+            return respond(emptyPage);
+        fixture.reader.setPlan({ StoreMode::Watch, 60s, 0ms });
+        return ++watches < 3 ? respond(R"({"events":[],"current_rev":7})")
+                             : ScriptedResponse { "", false, true };
+    });
+    CHECK(fixture.runUntil([&] { return watches == 3; }));
+}
