Pass on since when a copy of the store is complete, not only up to when

Cause: a node that has just started lists the store at a revision R and knows no removal from before R, but answered a peer at r < R as if it did. The peer counted itself as complete up to R and kept the removed upstream; its pushes passed the gap on to its data centre. Class: a copy that claims to be complete without knowing from where. Listing again after lost history had it too, and a late push could bring back an item that was removed before the receiver's own listing.

Why this works: an update names the revision since which it is complete (StoreUpdate). A mirror that doesn't know the removals since then adds the keys that exist, and the receiver removes the others. A receiver behind `since` applies the items, doesn't count as complete, and requests the gap. What is older than the revision at which a mirror is complete is no news to it. Nodes of the version before don't send `since`: their responses close no gap.

--- a/src/coordination/StoreChangeRelay.cpp
+++ b/src/coordination/StoreChangeRelay.cpp
@@ -25,8 +25,8 @@
     if (m_mirror.revision() <= since)
         return std::nullopt;
     m_pushedRevision = m_mirror.revision();
-    StoreChangesPush push { since, m_pushedRevision, m_mirror.changesSince(since) };
-    if (push.items.empty())
+    StoreChangesPush push { m_mirror.changesSince(since) };
+    if (push.update.items.empty() && !push.update.otherKeys)
         return std::nullopt; // only the revision has advanced, and heartbeats carry it
     return push;
 }
@@ -37,20 +37,15 @@
 {
     if (m_mirror.revision() == 0)
         return std::nullopt; // the first listing brings the changes
-    for (const StoreItem& item : push.items)
-        m_mirror.apply(item);
-    if (m_mirror.revision() < push.since)
+    if (!m_mirror.applyUpdate(push.update))
         return StoreChangesRequest { m_mirror.revision() };
-    m_mirror.setCompleteRevision(push.revision);
-    m_pushedRevision = std::max(m_pushedRevision, push.revision);
+    m_pushedRevision = std::max(m_pushedRevision, push.update.revision);
     return std::nullopt;
 }
 
 void StoreChangeRelay::receiveResponse(const StoreChangesResponse& response)
 {
-    for (const StoreItem& item : response.items)
-        m_mirror.apply(item);
-    m_mirror.setCompleteRevision(response.revision);
+    m_mirror.applyUpdate(response.update);
 }
 
 std::optional<StoreChangesRequest> StoreChangeRelay::compareWithPeer(std::uint64_t peerRevision, Instant now)
--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -182,14 +182,21 @@
     return array;
 }
 
+Json encodeOtherKeys(const StoreUpdate& update)
+{
+    return update.otherKeys ? Json(*update.otherKeys) : Json();
+}
+
 Json encode(const StoreChangesResponse& frame)
 {
-    return Json::array({ frame.revision, encodeItems(frame.items) });
+    const StoreUpdate& update = frame.update;
+    return Json::array({ update.revision, encodeItems(update.items), update.since, encodeOtherKeys(update) });
 }
 
 Json encode(const StoreChangesPush& frame)
 {
-    return Json::array({ frame.since, frame.revision, encodeItems(frame.items) });
+    const StoreUpdate& update = frame.update;
+    return Json::array({ update.since, update.revision, encodeItems(update.items), encodeOtherKeys(update) });
 }
 
 Json encode(const TokenRequest& frame)
@@ -254,14 +261,23 @@
     return items;
 }
 
+std::optional<std::vector<std::string>> decodeOtherKeys(const Json& json, std::size_t index)
+{
+    if (json.size() <= index || json.at(index).is_null())
+        return std::nullopt;
+    return json.at(index).get<std::vector<std::string>>();
+}
+
 PeerFrame decodeStoreChangesResponse(const Json& json)
 {
-    return StoreChangesResponse { json.at(0), decodeItems(json.at(1)) };
+    const std::uint64_t revision = json.at(0);
+    const std::uint64_t since = json.size() > 2 ? json.at(2).get<std::uint64_t>() : revision;
+    return StoreChangesResponse { { since, revision, decodeItems(json.at(1)), decodeOtherKeys(json, 3) } };
 }
 
 PeerFrame decodeStoreChangesPush(const Json& json)
 {
-    return StoreChangesPush { json.at(0), json.at(1), decodeItems(json.at(2)) };
+    return StoreChangesPush { { json.at(0), json.at(1), decodeItems(json.at(2)), decodeOtherKeys(json, 3) } };
 }
 
 PeerFrame decodeTokenRequest(const Json& json)
--- a/src/protocol/PeerFrame.h
+++ b/src/protocol/PeerFrame.h
@@ -5,7 +5,7 @@
 
 #include "protocol/HttpMessage.h"
 #include "state/CostVector.h"
-#include "state/StoreItem.h"
+#include "state/StoreUpdate.h"
 #include "state/UpstreamLoad.h"
 #include "state/UpstreamRecord.h"
 
@@ -130,17 +130,16 @@
 };
 
 struct StoreChangesResponse {
-    std::uint64_t revision { 0 }; ///< `items` has every change up to this revision
-    std::vector<StoreItem> items;
+    /// On the wire, nodes of the version before do not say since when it is complete: their items are read as
+    /// complete since their own revision, so that they count, but fill no gap.
+    StoreUpdate update;
 
     auto operator<=>(const StoreChangesResponse&) const = default;
 };
 
 /// Changes that a node has read from the store, sent to the nodes of its data centre without a request.
 struct StoreChangesPush {
-    std::uint64_t since { 0 }; ///< `items` has every change after this revision, up to `revision`
-    std::uint64_t revision { 0 };
-    std::vector<StoreItem> items;
+    StoreUpdate update;
 
     auto operator<=>(const StoreChangesPush&) const = default;
 };
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -340,7 +340,7 @@
 
     StoreChangesResponse storeChanges(std::uint64_t since) const override
     {
-        return { m_mirror.revision(), m_mirror.changesSince(since) };
+        return { m_mirror.changesSince(since) };
     }
 
     TokenResponse grantTokens(const TokenRequest& request) override { return m_tokenServer.grant(request); }
--- a/src/transport/StoreFeed.cpp
+++ b/src/transport/StoreFeed.cpp
@@ -75,10 +75,7 @@
     setPlan();
 }
 
-void StoreFeed::setPlan()
-{
-    m_reader.setPlan(callPlanOf(m_role, m_dataCentres));
-}
+void StoreFeed::setPlan() { m_reader.setPlan(callPlanOf(m_role, m_dataCentres)); }
 
 void StoreFeed::push()
 {
@@ -96,11 +93,13 @@
 
 void StoreFeed::onChanges(const StoreChangesResponse& response, Instant now)
 {
-    if (response.revision <= m_mirror.revision())
+    const StoreUpdate& update = response.update;
+    if (update.revision <= m_mirror.revision())
         return;
     m_state.log.state("store changes from a peer", now, [&] {
-        return nlohmann::json { { "revision", response.revision }, { "had", m_mirror.revision() },
-            { "items", response.items.size() } };
+        return nlohmann::json { { "revision", update.revision }, { "had", m_mirror.revision() },
+            { "since", update.since }, { "items", update.items.size() },
+            { "removalsMissing", update.otherKeys.has_value() } };
     });
     m_relay.receiveResponse(response);
     push();
@@ -116,8 +115,8 @@
     if (const auto request = m_relay.receivePush(push))
         m_links.send(vm, *request);
     m_state.log.state("store changes pushed", now, [&] {
-        return nlohmann::json { { "from", vm.text }, { "revision", push.revision }, { "had", had },
-            { "items", push.items.size() } };
+        return nlohmann::json { { "from", vm.text }, { "revision", push.update.revision }, { "had", had },
+            { "items", push.update.items.size() } };
     });
 }
 
--- a/src/transport/StoreReader.h
+++ b/src/transport/StoreReader.h
@@ -1,7 +1,7 @@
 // Reads the platform's store: lists all keys once and then watches them for changes, or only probes whether
 // the store responds where another node passes the changes on. Lists again if the store has dropped the
-// history since the last known revision. Calls that fail or are rejected are retried with a jittered backoff; a
-// watch that has gone silent is made again at once on a new connection.
+// history since the last known revision. Calls that fail or are rejected are retried with a jittered backoff;
+// a watch that has gone silent is made again at once on a new connection.
 #pragma once
 
 #include "coordination/StoreMirror.h"
