Check the drain time also when a request leaves the gate

Callers could see: a request sent to an upstream after the drain time (DRAIN), if it had waited at the gate of the upstream's node.

Cause: the node beside the upstream asked only on a request's arrival whether the upstream has drained for too long.

Why this works: the check is made where a request is started and where it is sent again; the request is answered as not run, so that the entry node places it elsewhere. The test fails without the change: the request is sent.

--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -136,6 +136,15 @@
             state.retryBudget.returnRepeat(job.request.route, job.attemptedAt);
     }
 
+    /// Why a request that has a slot can't be sent to the upstream any more.
+    HopReason obstacleToStart(const Job& job, Instant now) const
+    {
+        if (job.deadline - now < minTimeToRun)
+            return HopReason::TooLate;
+        return localUpstream.hasDrainedFor(state.drainAcceptTime(), now) ? HopReason::UpstreamDraining
+                                                                         : HopReason::None;
+    }
+
     void startJob(GateTicket ticket, Instant now)
     {
         const auto found = waiting.find(ticket);
@@ -143,10 +152,10 @@
         waiting.erase(found);
         job->startedAt = now;
         state.costs.requestStarted(job->request.route, job->request.repeatShare);
-        if (job->deadline - now < minTimeToRun) {
+        if (const HopReason obstacle = obstacleToStart(*job, now); obstacle != HopReason::None) {
             state.costs.requestEnded(job->request.route, Duration::zero(), false, job->request.repeatShare);
             startJobs(gate.depart(Duration::zero(), now), now);
-            return finishNotRun(job, HopReason::TooLate);
+            return finishNotRun(job, obstacle);
         }
         job->timeout = state.timers.at(job->deadline + noResponseTimeout,
             [weak = weak_from_this(), weakJob = std::weak_ptr<Job>(job)](Instant at) {
@@ -259,7 +268,7 @@
     bool mayResend(Job& job, const UpstreamResult& result, Instant now)
     {
         return result.kind == UpstreamResult::Kind::Lost && result.nothingReceived && result.reused
-            && !job.resent && job.request.idempotent && job.deadline - now > minTimeToRun
+            && !job.resent && job.request.idempotent && obstacleToStart(job, now) == HopReason::None
             && gate.startAgain(now) && takeRepeat(job, now);
     }
 
--- a/test/correctness/LeavingUpstreamsAreRemembered.cpp
+++ b/test/correctness/LeavingUpstreamsAreRemembered.cpp
@@ -93,3 +93,24 @@
     fixture.state.recordLoadReport(leavingVm, { { 0, 0, 10 }, 0, 50ms, true, std::nullopt }, fixture.now);
     CHECK(requestsToLeavingVm(fixture) > 0);
 }
+
+TEST_CASE("a request that waited at the gate is not sent after the drain time")
+{
+    HopServiceFixture fixture([](const HttpRequest&) { return ScriptedResponse { "", false, true }; });
+    Duration passed { 0 };
+    fixture.state.clock = [&] { return monotonicNow() + passed; };
+    UpstreamRecord record = fixture.state.directory.newestAtAddress(fixture.upstream.address())->record;
+    record.slots = 1;
+    fixture.state.directory.put(record, 2, fixture.state.now());
+    fixture.hop.refreshUpstream(fixture.state.now());
+    fixture.hop.request(fixture.origin, HopServiceFixture::makeRequest(1, true));
+    fixture.hop.request(fixture.origin, HopServiceFixture::makeRequest(2, true));
+    REQUIRE(fixture.hop.load().gate.queued == 1);
+    record.draining = true;
+    fixture.state.directory.put(record, 3, fixture.state.now());
+    fixture.hop.refreshUpstream(fixture.state.now());
+    passed = fixture.state.drainAcceptTime() + 10ms;
+    fixture.hop.cancel(fixture.origin, 1); // its slot is free
+    REQUIRE(fixture.responses.size() == 1);
+    CHECK(fixture.responses.back().reason == HopReason::UpstreamDraining);
+}
