Drain an upstream whose record is removed without a word, at its own node too

Callers could see: a request sent to an upstream after its record was removed (DRAIN), by way of an entry node whose copy of the store is older.

Cause: the node beside the upstream heard of draining records and of what the upstream says, not of a record that is removed without draining before, as some upstreams leave.

Why this works: a removed record counts like a draining one, from its removal in this node's directory until a record is back; and the load reports of a draining upstream say that it accepts no requests, which reaches entry nodes that are behind. The test fails without the change in both checks.

--- a/src/coordination/LocalUpstream.cpp
+++ b/src/coordination/LocalUpstream.cpp
@@ -16,6 +16,12 @@
         m_drainingSince = now;
 }
 
+void LocalUpstream::removeRecord(Instant now)
+{
+    if (m_record && !m_drainingSince)
+        m_drainingSince = now;
+}
+
 bool LocalUpstream::onResponse(const UpstreamNotice& notice, Instant sentAt, Instant now)
 {
     m_hasResponded = true;
--- a/src/coordination/LocalUpstream.h
+++ b/src/coordination/LocalUpstream.h
@@ -14,6 +14,9 @@
 public:
     /// Called with the newest record at the upstream's address. What another run there has said is forgotten.
     void setRecord(const UpstreamRecord&, Instant now);
+    /// Called when the directory has no record at the upstream's address any more: some upstreams leave
+    /// without a word.
+    void removeRecord(Instant now);
     /// Called with the notice of each response whose request was sent at `sentAt`. Returns whether the
     /// request limit has changed or the upstream has said for the first time that it is leaving.
     bool onResponse(const UpstreamNotice&, Instant sentAt, Instant now);
@@ -26,6 +29,8 @@
     /// What the upstream has said since this node's start; nothing until then.
     std::optional<UpstreamNotice> notice() const;
     bool isLeaving() const { return m_leavingSince.has_value(); }
+    /// Whether the record says that the upstream is draining, or was removed.
+    bool isDraining() const { return m_drainingSince.has_value(); }
     /// Whether the record or the responses have said for `time` or longer that the upstream takes no
     /// requests.
     bool hasDrainedFor(Duration time, Instant now) const;
@@ -36,7 +41,7 @@
     Instant m_limitHeardAt; // when the last response with a limit arrived
     bool m_hasResponded { false }; // since this node's start
     bool m_hasGivenNotice { false }; // likewise
-    std::optional<Instant> m_drainingSince; // by the record
+    std::optional<Instant> m_drainingSince; // by the record or its removal
     std::optional<Instant> m_leavingSince; // by the responses; stays for the rest of the run
 };
 
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -72,8 +72,8 @@
 
     UpstreamLoad load(Instant now) const
     {
-        const bool acceptsRequests
-            = state.acceptsPeerRequests() && now >= upstreamDownUntil && !localUpstream.isLeaving();
+        const bool acceptsRequests = state.acceptsPeerRequests() && now >= upstreamDownUntil
+            && !localUpstream.isLeaving() && !localUpstream.isDraining();
         return { gate.state(), overloadController.shedShare(), gate.meanServiceTime(), acceptsRequests,
             localUpstream.notice() };
     }
@@ -548,7 +548,7 @@
         service.state.directory.usable(service.state.settings.service).size());
     service.state.retryBudget.removeIdleRoutes(now);
     if (!local)
-        return;
+        return service.localUpstream.removeRecord(now);
     service.localUpstream.setRecord(local->record, now);
     service.applyRequestLimit(now);
     if (local->record.slots != service.slots) {
--- a/test/correctness/LeavingUpstreamsAreRemembered.cpp
+++ b/test/correctness/LeavingUpstreamsAreRemembered.cpp
@@ -114,3 +114,24 @@
     REQUIRE(fixture.responses.size() == 1);
     CHECK(fixture.responses.back().reason == HopReason::UpstreamDraining);
 }
+
+TEST_CASE("the node of an upstream whose record was removed rejects requests after a part of the drain time")
+{
+    HopServiceFixture fixture(
+        [](const HttpRequest& request) { return ScriptedResponse { sealedResponse(request) }; });
+    Duration passed { 0 };
+    fixture.state.clock = [&] { return monotonicNow() + passed; };
+    const UpstreamRecord record = fixture.state.directory.newestAtAddress(fixture.upstream.address())->record;
+    fixture.state.directory.remove(record.instance, std::nullopt);
+    fixture.hop.refreshUpstream(fixture.state.now());
+    CHECK_FALSE(fixture.hop.load().acceptsRequests);
+    fixture.requestAndWait(1, true); // from an entry node that doesn't know of the removal yet
+    CHECK(fixture.responses.back().outcome == HopOutcome::Responded);
+    passed = fixture.state.drainAcceptTime() + 100ms;
+    fixture.requestAndWait(2, true);
+    CHECK(fixture.responses.back().reason == HopReason::UpstreamDraining);
+    fixture.state.directory.put(record, 2, fixture.state.now());
+    fixture.hop.refreshUpstream(fixture.state.now());
+    fixture.requestAndWait(3, true); // the record had only lapsed
+    CHECK(fixture.responses.back().outcome == HopOutcome::Responded);
+}
