Let no old copy of the store take back what an upstream has said of itself

Callers could see: after the store came back from a copy, requests for an upstream that had said it was leaving or had left, or for an address that another upstream has now (DRAIN, ROUTE).

Cause: the directory went by revisions alone. A copy's record has a revision, but may be older than what is known of the upstream.

Why this works: records are ordered by era and revision, and a record from a later era counts only if the upstream says more in it: by run (born) and by its sequence. Otherwise it is doubted until the store, which removes the records of ended upstreams, has kept it for 7 s. Ended upstreams are remembered for 5 min, 4,096 at most. A record without news keeps its position, so that an address stays with the upstream that took it over.

--- a/src/coordination/UpstreamDirectory.cpp
+++ b/src/coordination/UpstreamDirectory.cpp
@@ -9,15 +9,57 @@
 
 namespace Ebonystack {
 
-void UpstreamDirectory::put(const UpstreamRecord& record, std::uint64_t revision, Instant now)
+namespace {
+
+/// Copies of a store are seconds old; a record that was removed earlier is in none.
+constexpr Duration endedUpstreamLifetime = std::chrono::minutes(5);
+constexpr std::size_t maxEndedUpstreams = 4096;
+
+} // namespace
+
+bool UpstreamDirectory::isOutdated(const UpstreamRecord& record, const StorePosition& position) const
+{
+    const auto runOf = [](const UpstreamRecord& each) { return std::pair(each.startedAt, each.sequence); };
+    if (const auto known = m_upstreams.find(record.instance); known != m_upstreams.end())
+        return position.era > known->second.position.era && runOf(record) < runOf(known->second.record);
+    const auto ended = m_ended.find(record.instance);
+    return ended != m_ended.end() && position.era > ended->second.era
+        && runOf(record) <= runOf(ended->second.record);
+}
+
+void UpstreamDirectory::put(const UpstreamRecord& record, const StorePosition& position, Instant now)
 {
     ++m_version;
+    m_era = std::max(m_era, position.era);
+    m_doubted.erase(record.instance);
+    const auto known = m_upstreams.find(record.instance);
+    if (isOutdated(record, position))
+        m_doubted.emplace(record.instance, DoubtedRecord { record, position, now + restoredRecordLapse });
+    else if (known == m_upstreams.end() || known->second.record != record
+        || known->second.position.era == position.era)
+        return accept(record, position, now);
+    if (known != m_upstreams.end()) { // published, with no news in it
+        known->second.expiresAt.reset();
+        known->second.lapsedWhileStoreUnreachable = false;
+    }
+}
+
+void UpstreamDirectory::accept(const UpstreamRecord& record, const StorePosition& position, Instant now)
+{
+    m_ended.erase(record.instance);
     m_upstreams.insert_or_assign(record.instance,
-        KnownUpstream { record, revision, now + record.remainingColdTime, std::nullopt, false });
+        KnownUpstream { record, position, now + record.remainingColdTime, std::nullopt, false });
 }
 
-void UpstreamDirectory::remove(const InstanceId& instance, std::optional<Instant> graceUntil)
+void UpstreamDirectory::end(const KnownUpstream& upstream, Instant now)
 {
+    if (m_ended.size() < maxEndedUpstreams)
+        m_ended.insert_or_assign(upstream.record.instance, EndedUpstream { upstream.record, m_era, now });
+}
+
+void UpstreamDirectory::remove(const InstanceId& instance, std::optional<Instant> graceUntil, Instant now)
+{
+    m_doubted.erase(instance);
     const auto found = m_upstreams.find(instance);
     if (found == m_upstreams.end())
         return;
@@ -26,18 +68,21 @@
         found->second.expiresAt = graceUntil;
         return;
     }
+    end(found->second, now);
     m_upstreams.erase(found);
 }
 
-void UpstreamDirectory::removeWhileStoreUnreachable(const InstanceId& instance)
+void UpstreamDirectory::removeWhileStoreUnreachable(const InstanceId& instance, Instant now)
 {
+    m_doubted.erase(instance);
     const auto found = m_upstreams.find(instance);
     if (found == m_upstreams.end())
         return;
     ++m_version;
-    if (found->second.record.draining)
+    if (found->second.record.draining) {
+        end(found->second, now);
         m_upstreams.erase(found);
-    else
+    } else
         found->second.lapsedWhileStoreUnreachable = true;
 }
 
@@ -53,9 +98,20 @@
         upstream.lapsedWhileStoreUnreachable = false;
         upstream.expiresAt = state == StoreReachabilityState::Reachable ? now + lapsedRecordGrace : now;
     }
-    const auto ended = std::erase_if(m_upstreams,
-        [&](const auto& item) { return item.second.expiresAt && *item.second.expiresAt <= now; });
-    m_version += ended;
+    m_version += std::erase_if(m_upstreams, [&](const auto& item) {
+        const bool hasEnded = item.second.expiresAt && *item.second.expiresAt <= now;
+        if (hasEnded)
+            end(item.second, now);
+        return hasEnded;
+    });
+    m_version += std::erase_if(m_doubted, [&](const auto& item) {
+        const DoubtedRecord& doubted = item.second;
+        const bool isPublished = doubted.until <= now;
+        if (isPublished)
+            accept(doubted.record, doubted.position, now);
+        return isPublished;
+    });
+    std::erase_if(m_ended, [&](const auto& item) { return now - item.second.at > endedUpstreamLifetime; });
 }
 
 const std::vector<const KnownUpstream*>& UpstreamDirectory::usable(const ServiceName& service) const
@@ -70,7 +126,7 @@
     std::unordered_map<std::string_view, const KnownUpstream*> newest; // by address
     for (const auto& [instance, upstream] : m_upstreams) {
         const auto [current, isNew] = newest.try_emplace(upstream.record.address, &upstream);
-        if (!isNew && upstream.revision > current->second->revision)
+        if (!isNew && upstream.position > current->second->position)
             current->second = &upstream;
     }
     std::map<ServiceName, Upstreams> usable;
@@ -85,7 +141,7 @@
 {
     const KnownUpstream* newest = nullptr;
     for (const auto& [instance, upstream] : m_upstreams) {
-        const bool isNewer = !newest || upstream.revision > newest->revision;
+        const bool isNewer = !newest || upstream.position > newest->position;
         if (upstream.record.address == address && isNewer)
             newest = &upstream;
     }
--- a/src/coordination/UpstreamDirectory.h
+++ b/src/coordination/UpstreamDirectory.h
@@ -1,9 +1,11 @@
 // The upstreams that can get requests, by the records that the platform publishes in its store. A record may
-// have lapsed only because the store could not be reached. Such a record may be published again, so its
-// upstream stays in use for a grace period.
+// have lapsed only because the store could not be reached, or be missing because the store came back from a
+// copy. Such a record may be published again, so its upstream stays in use for a grace period. What upstreams
+// say of themselves outlives the store's eras: a copy does not take back that one is draining or has left.
 #pragma once
 
 #include "coordination/StoreReachability.h"
+#include "state/StorePosition.h"
 #include "state/UpstreamRecord.h"
 
 #include <map>
@@ -16,7 +18,7 @@
 /// An upstream in the directory.
 struct KnownUpstream {
     UpstreamRecord record;
-    std::uint64_t revision { 0 }; ///< of the store, at the record's last write
+    StorePosition position; ///< of the store, at the record's last write
     Instant coldUntil; ///< the upstream has just started and is slow until then
     std::optional<Instant> expiresAt; ///< set when the record has lapsed: the upstream is dropped then
     /// The record has lapsed while the VM could not reach the store.
@@ -28,6 +30,10 @@
 /// Records that lapsed because the store could not be reached are published again within about this time
 /// after the store is reachable again.
 constexpr Duration lapsedRecordGrace = std::chrono::milliseconds(2200);
+/// Records that a restored store lacks are written again, and read, within about this time.
+constexpr Duration restoredRecordGrace = std::chrono::milliseconds(3000);
+/// A restored store removes the records of upstreams that have ended within this time.
+constexpr Duration restoredRecordLapse = std::chrono::seconds(7);
 
 /// Not thread-safe.
 class UpstreamDirectory {
@@ -36,14 +42,15 @@
     UpstreamDirectory(const UpstreamDirectory&) = delete;
     UpstreamDirectory& operator=(const UpstreamDirectory&) = delete;
 
-    /// Called when a record was written at a revision of the store.
-    void put(const UpstreamRecord&, std::uint64_t revision, Instant now);
+    /// Called when a record was written, or is in the copy from which the store came back. A copy that is
+    /// older than what the upstream said last counts only if it is still there after `restoredRecordLapse`.
+    void put(const UpstreamRecord&, const StorePosition&, Instant now);
     /// Called when a record was removed. With `graceUntil` the record may have lapsed only because the store
     /// could not be reached: the upstream stays in use until then, unless it is draining.
-    void remove(const InstanceId&, std::optional<Instant> graceUntil);
+    void remove(const InstanceId&, std::optional<Instant> graceUntil, Instant now);
     /// Called when a record was removed while its VM could not reach the store. Unless it is draining, the
     /// upstream stays in use while that is so, and for `lapsedRecordGrace` after the VM reaches the store.
-    void removeWhileStoreUnreachable(const InstanceId&);
+    void removeWhileStoreUnreachable(const InstanceId&, Instant now);
     /// Drops the upstreams whose record was not published again in time. Call it at regular intervals.
     void expire(const StoreReachability&, Instant now);
 
@@ -68,10 +75,31 @@
 private:
     using Upstreams = std::vector<const KnownUpstream*>;
 
+    /// A record that a restored store may have only because its copy is old.
+    struct DoubtedRecord {
+        UpstreamRecord record;
+        StorePosition position;
+        Instant until;
+    };
+    /// The last record of an upstream that has left the directory.
+    struct EndedUpstream {
+        UpstreamRecord record;
+        std::uint64_t era { 0 }; // of the store, at the removal
+        Instant at;
+    };
+
+    /// Whether the record comes from an older copy than what is known of the upstream.
+    bool isOutdated(const UpstreamRecord&, const StorePosition&) const;
+    void accept(const UpstreamRecord&, const StorePosition&, Instant now);
+    void end(const KnownUpstream&, Instant now);
+
     template <typename Predicate> std::vector<VmId> vmsIf(Predicate&&) const;
     std::map<ServiceName, Upstreams> findUsable() const;
 
     std::map<InstanceId, KnownUpstream> m_upstreams;
+    std::map<InstanceId, DoubtedRecord> m_doubted;
+    std::map<InstanceId, EndedUpstream> m_ended; // those of the last minutes
+    std::uint64_t m_era { 0 }; // the latest of a record
     std::uint64_t m_version { 1 };
     // The usable upstreams by service, at version m_usableVersion of the directory; points into m_upstreams.
     mutable std::map<ServiceName, Upstreams> m_usable;
--- a/src/state/UpstreamRecord.h
+++ b/src/state/UpstreamRecord.h
@@ -24,6 +24,7 @@
     Duration remainingColdTime { 0 }; ///< of slowness after the start, counted from the record's write
     /// When the upstream started, in milliseconds since the Unix epoch: tells runs with the same id apart.
     std::uint64_t startedAt { 0 };
+    std::uint64_t sequence { 0 }; ///< increases with each report of a run; 0 if the record has none
 
     auto operator<=>(const UpstreamRecord&) const = default;
 };
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -223,7 +223,7 @@
                     { "reason", decoded.error() } };
             });
             if (const auto instance = m_state.adapter.instanceOfKey(item.key)) {
-                m_state.directory.remove(*instance, std::nullopt);
+                m_state.directory.remove(*instance, std::nullopt, now);
                 m_directoryChanged = true;
             }
             return;
@@ -248,12 +248,13 @@
         const bool storeWasUnreachable
             = isStoreUnreachable || (recoveredAt && now < *recoveredAt + lapsedRecordGrace);
         if (vmLostStore)
-            m_state.directory.removeWhileStoreUnreachable(*instance);
+            m_state.directory.removeWhileStoreUnreachable(*instance, now);
         else
             m_state.directory.remove(*instance,
                 storeWasUnreachable
                     ? std::optional((isStoreUnreachable ? now : *recoveredAt) + lapsedRecordGrace)
-                    : std::nullopt);
+                    : std::nullopt,
+                now);
         m_directoryChanged = true;
         m_state.log.state("upstream entry removed", now, [&] {
             return nlohmann::json { { "instance", instance->text }, { "revision", item.revision },
@@ -263,7 +264,7 @@
 
     void onUpstreamRecord(const UpstreamRecord& upstream, std::uint64_t revision, Instant now)
     {
-        m_state.directory.put(upstream, revision, now);
+        m_state.directory.put(upstream, { 0, revision }, now);
         m_directoryChanged = true;
         m_state.log.state("upstream entry", now, [&] {
             return nlohmann::json { { "instance", upstream.instance.text },
--- a/test/correctness/DirectoryTracksUpstreamRecords.cpp
+++ b/test/correctness/DirectoryTracksUpstreamRecords.cpp
@@ -30,9 +30,9 @@
 struct LapsedUpstream {
     LapsedUpstream()
     {
-        directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), 5, start);
+        directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), { 0, 5 }, start);
         reachability.report({ "10.0.0.1" }, false, start);
-        directory.removeWhileStoreUnreachable({ "i-1" });
+        directory.removeWhileStoreUnreachable({ "i-1" }, start);
     }
 
     StoreReachability reachability;
@@ -44,28 +44,28 @@
 TEST_CASE("a draining upstream gets no requests")
 {
     UpstreamDirectory directory;
-    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), 5, start);
+    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), { 0, 5 }, start);
     CHECK(usable(directory) == std::vector<std::string> { "i-1" });
-    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80", true), 6, start);
+    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80", true), { 0, 6 }, start);
     CHECK(usable(directory).empty());
 }
 
 TEST_CASE("of two records with one address only the one written last is valid")
 {
     UpstreamDirectory directory;
-    directory.put(makeUpstreamRecord("i-9", "10.0.0.1:80"), 5, start);
-    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), 9, start);
+    directory.put(makeUpstreamRecord("i-9", "10.0.0.1:80"), { 0, 5 }, start);
+    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), { 0, 9 }, start);
     CHECK(usable(directory) == std::vector<std::string> { "i-1" });
     CHECK(directory.newestAtAddress("10.0.0.1:80")->record.instance.text == "i-1");
-    directory.remove({ "i-9" }, std::nullopt);
+    directory.remove({ "i-9" }, std::nullopt, start);
     CHECK(usable(directory) == std::vector<std::string> { "i-1" });
 }
 
 TEST_CASE("a record that lapses stays usable until its grace period ends")
 {
     UpstreamDirectory directory;
-    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), 5, start);
-    directory.remove({ "i-1" }, start + 1s);
+    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), { 0, 5 }, start);
+    directory.remove({ "i-1" }, start + 1s, start);
     directory.expire(noReports, start + 999ms);
     CHECK(usable(directory).size() == 1);
     directory.expire(noReports, start + 1s);
@@ -75,9 +75,9 @@
 TEST_CASE("a record that is written again within its grace period stays usable")
 {
     UpstreamDirectory directory;
-    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), 5, start);
-    directory.remove({ "i-1" }, start + 2s);
-    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), 8, start + 1s);
+    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), { 0, 5 }, start);
+    directory.remove({ "i-1" }, start + 2s, start);
+    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), { 0, 8 }, start + 1s);
     directory.expire(noReports, start + 3s);
     CHECK(usable(directory).size() == 1);
 }
@@ -85,16 +85,16 @@
 TEST_CASE("a draining record that lapses is removed at once")
 {
     UpstreamDirectory directory;
-    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80", true), 5, start);
-    directory.remove({ "i-1" }, start + 2s);
+    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80", true), { 0, 5 }, start);
+    directory.remove({ "i-1" }, start + 2s, start);
     CHECK(directory.size() == 0);
 }
 
 TEST_CASE("a record that is removed while the store is reachable gets no grace period")
 {
     UpstreamDirectory directory;
-    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), 5, start);
-    directory.remove({ "i-1" }, std::nullopt);
+    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), { 0, 5 }, start);
+    directory.remove({ "i-1" }, std::nullopt, start);
     CHECK(directory.size() == 0);
 }
 
@@ -123,9 +123,9 @@
 {
     // Only published VMs own plans: a node that has just started knows no others.
     UpstreamDirectory directory;
-    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), 5, start);
-    directory.put(makeUpstreamRecord("i-2", "10.0.0.2:80"), 6, start);
-    directory.removeWhileStoreUnreachable({ "i-1" });
+    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), { 0, 5 }, start);
+    directory.put(makeUpstreamRecord("i-2", "10.0.0.2:80"), { 0, 6 }, start);
+    directory.removeWhileStoreUnreachable({ "i-1" }, start);
     CHECK(directory.vms().size() == 2);
     CHECK(directory.publishedVms() == std::vector<VmId> { { "10.0.0.2" } });
 }
@@ -135,13 +135,13 @@
     StoreReachability reachability;
     UpstreamDirectory directory;
     CHECK(usable(directory).empty());
-    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), 5, start);
+    directory.put(makeUpstreamRecord("i-1", "10.0.0.1:80"), { 0, 5 }, start);
     CHECK(usable(directory).size() == 1);
-    directory.put(makeUpstreamRecord("i-2", "10.0.0.1:80"), 6, start); // the same address, newer
+    directory.put(makeUpstreamRecord("i-2", "10.0.0.1:80"), { 0, 6 }, start); // the same address, newer
     CHECK(usable(directory) == std::vector<std::string> { "i-2" });
-    directory.remove({ "i-2" }, start + 1s);
+    directory.remove({ "i-2" }, start + 1s, start);
     directory.expire(reachability, start + 2s);
     CHECK(usable(directory) == std::vector<std::string> { "i-1" });
-    directory.remove({ "i-1" }, std::nullopt);
+    directory.remove({ "i-1" }, std::nullopt, start);
     CHECK(usable(directory).empty());
 }
--- a/test/correctness/LeavingUpstreamsAreRemembered.cpp
+++ b/test/correctness/LeavingUpstreamsAreRemembered.cpp
@@ -54,7 +54,7 @@
 
     UpstreamRecord record = fixture.state.directory.newestAtAddress(fixture.upstream.address())->record;
     record.startedAt = 1; // another run with the same id
-    fixture.state.directory.put(record, 2, fixture.state.now());
+    fixture.state.directory.put(record, { 0, 2 }, fixture.state.now());
     fixture.hop.refreshUpstream(fixture.state.now());
     CHECK(fixture.hop.load().acceptsRequests);
     fixture.requestAndWait(3, true);
@@ -89,7 +89,7 @@
     fixture.state.recordLoadReport(leavingVm, makeLeavingLoad(), fixture.now);
     UpstreamRecord record = makeUpstreamRecord("i-2", leavingVm.text);
     record.startedAt = 1;
-    fixture.state.directory.put(record, 3, fixture.now);
+    fixture.state.directory.put(record, { 0, 3 }, fixture.now);
     fixture.state.recordLoadReport(leavingVm, { { 0, 0, 10 }, 0, 50ms, true, std::nullopt }, fixture.now);
     CHECK(requestsToLeavingVm(fixture) > 0);
 }
@@ -101,13 +101,13 @@
     fixture.state.clock = [&] { return monotonicNow() + passed; };
     UpstreamRecord record = fixture.state.directory.newestAtAddress(fixture.upstream.address())->record;
     record.slots = 1;
-    fixture.state.directory.put(record, 2, fixture.state.now());
+    fixture.state.directory.put(record, { 0, 2 }, fixture.state.now());
     fixture.hop.refreshUpstream(fixture.state.now());
     fixture.hop.request(fixture.origin, HopServiceFixture::makeRequest(1, true));
     fixture.hop.request(fixture.origin, HopServiceFixture::makeRequest(2, true));
     REQUIRE(fixture.hop.load().gate.queued == 1);
     record.draining = true;
-    fixture.state.directory.put(record, 3, fixture.state.now());
+    fixture.state.directory.put(record, { 0, 3 }, fixture.state.now());
     fixture.hop.refreshUpstream(fixture.state.now());
     passed = fixture.state.drainAcceptTime() + 10ms;
     fixture.hop.cancel(fixture.origin, 1); // its slot is free
@@ -122,7 +122,7 @@
     Duration passed { 0 };
     fixture.state.clock = [&] { return monotonicNow() + passed; };
     const UpstreamRecord record = fixture.state.directory.newestAtAddress(fixture.upstream.address())->record;
-    fixture.state.directory.remove(record.instance, std::nullopt);
+    fixture.state.directory.remove(record.instance, std::nullopt, fixture.state.now());
     fixture.hop.refreshUpstream(fixture.state.now());
     CHECK_FALSE(fixture.hop.load().acceptsRequests);
     fixture.requestAndWait(1, true); // from an entry node that doesn't know of the removal yet
@@ -130,7 +130,7 @@
     passed = fixture.state.drainAcceptTime() + 100ms;
     fixture.requestAndWait(2, true);
     CHECK(fixture.responses.back().reason == HopReason::UpstreamDraining);
-    fixture.state.directory.put(record, 2, fixture.state.now());
+    fixture.state.directory.put(record, { 0, 2 }, fixture.state.now());
     fixture.hop.refreshUpstream(fixture.state.now());
     fixture.requestAndWait(3, true); // the record had only lapsed
     CHECK(fixture.responses.back().outcome == HopOutcome::Responded);
--- a/test/correctness/NamedLimitsBindAllSends.cpp
+++ b/test/correctness/NamedLimitsBindAllSends.cpp
@@ -84,8 +84,10 @@
 TEST_CASE("an upstream gets requests in proportion to the limit that it names")
 {
     UpstreamSelector selector({ "a" }, 1);
-    const KnownUpstream limited { makeUpstreamRecord("i-2", "10.0.0.2"), 1, Instant(), std::nullopt, false };
-    const KnownUpstream other { makeUpstreamRecord("i-3", "10.0.0.3"), 1, Instant(), std::nullopt, false };
+    const KnownUpstream limited { makeUpstreamRecord("i-2", "10.0.0.2"), { 0, 1 }, Instant(), std::nullopt,
+        false };
+    const KnownUpstream other { makeUpstreamRecord("i-3", "10.0.0.3"), { 0, 1 }, Instant(), std::nullopt,
+        false };
     const Instant now { 100s };
     selector.recordLoadReport(
         { "10.0.0.2" }, { { 0, 0, 1 }, 0, 50ms, true, UpstreamNotice { { "i-2" }, 20, false } }, now);
--- a/test/correctness/TeamPlansHoldAcrossEntryNodes.cpp
+++ b/test/correctness/TeamPlansHoldAcrossEntryNodes.cpp
@@ -119,12 +119,12 @@
         record.vm = { "10.0.0." + std::to_string(vm) };
         record.instance = { "i-" + std::to_string(vm) };
         record.address = record.vm.text + ":80";
-        directory.put(record, static_cast<std::uint64_t>(vm), start);
+        directory.put(record, { 0, static_cast<std::uint64_t>(vm) }, start);
         CHECK(owners.ownerOf(team) == planOwner(team, directory.publishedVms()));
     }
     const auto before = owners.ownerOf(team);
     REQUIRE(before);
-    directory.remove({ "i-" + before->text.substr(7) }, start + 1s);
+    directory.remove({ "i-" + before->text.substr(7) }, start + 1s, start);
     CHECK(owners.ownerOf(team) != before); // its record is not published, but may be written again
     CHECK(owners.ownerOf(team) == planOwner(team, directory.publishedVms()));
 }
--- a/test/correctness/UpstreamSelectionFollowsLoad.cpp
+++ b/test/correctness/UpstreamSelectionFollowsLoad.cpp
@@ -15,7 +15,7 @@
 {
     return { { { "i-" + vm }, { "registry" }, { dataCentre }, vm + ":80", { vm }, 50, false,
                  Duration::zero() },
-        1, start, std::nullopt, false };
+        { 0, 1 }, start, std::nullopt, false };
 }
 
 UpstreamLoad makeLoad(std::uint32_t running, Duration meanServiceTime = 100ms)
--- a/test/performance/Decisions.cpp
+++ b/test/performance/Decisions.cpp
@@ -33,7 +33,7 @@
         record.vm = { "10.0.0." + std::to_string(i) };
         record.dataCentre = { i % 3 == 0 ? "a" : "b" };
         record.slots = 100;
-        upstreams.push_back({ record, 1, start, std::nullopt, false });
+        upstreams.push_back({ record, { 0, 1 }, start, std::nullopt, false });
         selector.recordLoadReport(record.vm, { { 50, 0, 94 }, 0, 40ms, true }, start);
     }
     std::vector<const KnownUpstream*> candidates;
--- a/test/support/HopServiceFixture.h
+++ b/test/support/HopServiceFixture.h
@@ -16,7 +16,7 @@
         state.settings.upstreamAddress = upstream.address();
         UpstreamRecord record = makeUpstreamRecord("i-1", "127.0.0.1");
         record.address = upstream.address();
-        state.directory.put(record, 1, state.now());
+        state.directory.put(record, { 0, 1 }, state.now());
         hop.refreshUpstream(state.now());
     }
 
--- a/test/support/SidecarFixtures.h
+++ b/test/support/SidecarFixtures.h
@@ -112,8 +112,8 @@
     {
         state.clock = [this] { return now; };
         state.config = std::make_shared<const ServingIndex>(makeServingConfig());
-        state.directory.put(makeUpstreamRecord("i-2", "10.0.0.2"), 1, now);
-        state.directory.put(makeUpstreamRecord("i-3", "10.0.0.3"), 2, now);
+        state.directory.put(makeUpstreamRecord("i-2", "10.0.0.2"), { 0, 1 }, now);
+        state.directory.put(makeUpstreamRecord("i-3", "10.0.0.3"), { 0, 2 }, now);
     }
 
     CallId begin(const std::string& path, const std::string& id = "1")
--- a/tools/lab/SimulatedFleet.cpp
+++ b/tools/lab/SimulatedFleet.cpp
@@ -171,7 +171,7 @@
     spec.speed = service.speeds[static_cast<std::size_t>(index) % service.speeds.size()];
     auto node = std::make_unique<SimulatedNode>(*this, spec, m_random());
     for (const auto& [instance, record] : m_publishedRecords)
-        node->state().directory.put(record, ++m_revision, m_clock.now());
+        node->state().directory.put(record, { 0, ++m_revision }, m_clock.now());
     UpstreamRecord published = spec.record;
     if (cold) {
         node->upstream().startCold();
@@ -187,7 +187,7 @@
 {
     m_publishedRecords[record.instance] = record;
     for (const auto& [vm, node] : m_nodes) {
-        node->state().directory.put(record, ++m_revision, m_clock.now());
+        node->state().directory.put(record, { 0, ++m_revision }, m_clock.now());
         node->onDirectoryChange();
     }
 }
@@ -196,7 +196,7 @@
 {
     m_publishedRecords.erase(instance);
     for (const auto& [vm, node] : m_nodes) {
-        node->state().directory.remove(instance, std::nullopt);
+        node->state().directory.remove(instance, std::nullopt, m_clock.now());
         node->onDirectoryChange();
     }
 }
