Order all changes of the store by its era, then by revision

Callers saw: after the store came back from a copy, a change that had been acknowledged was never in force (CONFIG), on all nodes, until the next change of the same item.

Cause: revisions were taken to grow for ever. The restored store gives them out again: a change whose revision was seen before was dropped by the mirror, and a watch from a revision that exists again but means something else skips changes without status 410.

The log shows version 12 acknowledged with revision 23 for the second time, and no node that reads it.

Why this works: the era that the store names in every response, also in errors, is part of each position: in the mirror, heartbeats, pushes, requests and responses. A higher era means a new listing, whatever the watch says; a peer that is late takes nobody back; a part of a new era isn't taken for all of it. A node that only probes waits 500 ms for the readers' push before it lists. Missing, malformed, lower and far-off eras have no effect.

--- a/src/coordination/StoreChangeRelay.cpp
+++ b/src/coordination/StoreChangeRelay.cpp
@@ -1,4 +1,4 @@
-// Compares revisions: of the mirror, of the last push, and of peers.
+// Compares positions: of the mirror, of the last push, and of peers.
 #include "coordination/StoreChangeRelay.h"
 
 #include <algorithm>
@@ -19,27 +19,28 @@
 {
 }
 
+StoreChangesRequest StoreChangeRelay::makeRequest() const { return { m_mirror.revision(), m_mirror.era() }; }
+
 std::optional<StoreChangesPush> StoreChangeRelay::takePush()
 {
-    const std::uint64_t since = m_pushedRevision;
-    if (m_mirror.revision() <= since)
+    if (m_mirror.position() <= m_pushed)
         return std::nullopt;
-    m_pushedRevision = m_mirror.revision();
-    StoreChangesPush push { m_mirror.changesSince(since) };
+    StoreChangesPush push { m_mirror.changesSince(m_pushed) };
+    m_pushed = m_mirror.position();
     if (push.update.items.empty() && !push.update.otherKeys)
         return std::nullopt; // only the revision has advanced, and heartbeats carry it
     return push;
 }
 
-void StoreChangeRelay::startPushing() { m_pushedRevision = m_mirror.revision(); }
+void StoreChangeRelay::startPushing() { m_pushed = m_mirror.position(); }
 
 std::optional<StoreChangesRequest> StoreChangeRelay::receivePush(const StoreChangesPush& push)
 {
     if (m_mirror.revision() == 0)
         return std::nullopt; // the first listing brings the changes
     if (!m_mirror.applyUpdate(push.update))
-        return StoreChangesRequest { m_mirror.revision() };
-    m_pushedRevision = std::max(m_pushedRevision, push.update.revision);
+        return makeRequest();
+    m_pushed = std::max(m_pushed, StorePosition { push.update.era, push.update.revision });
     return std::nullopt;
 }
 
@@ -48,21 +49,21 @@
     m_mirror.applyUpdate(response.update);
 }
 
-std::optional<StoreChangesRequest> StoreChangeRelay::compareWithPeer(std::uint64_t peerRevision, Instant now)
+std::optional<StoreChangesRequest> StoreChangeRelay::compareWithPeer(const StorePosition& peer, Instant now)
 {
-    const std::uint64_t revision = m_mirror.revision();
-    if (peerRevision <= revision)
+    const StorePosition position = m_mirror.position();
+    if (peer <= position)
         return std::nullopt;
-    if (m_behindRevision != revision) {
-        m_behindRevision = revision;
+    if (m_behindAt != position) {
+        m_behindAt = position;
         m_behindSince = now;
     }
     const bool wasJustRequested = m_requestedAt && now - *m_requestedAt < minRequestInterval;
-    const bool waitsForPush = revision > 0 && now - m_behindSince < pushWaitTime;
+    const bool waitsForPush = position.revision > 0 && now - m_behindSince < pushWaitTime;
     if (wasJustRequested || waitsForPush)
         return std::nullopt;
     m_requestedAt = now;
-    return StoreChangesRequest { revision };
+    return makeRequest();
 }
 
 } // namespace Ebonystack
--- a/src/coordination/StoreChangeRelay.h
+++ b/src/coordination/StoreChangeRelay.h
@@ -25,14 +25,16 @@
     std::optional<StoreChangesRequest> receivePush(const StoreChangesPush&);
     /// Applies the response to a request.
     void receiveResponse(const StoreChangesResponse&);
-    /// Called with a peer's revision. Returns a request if the mirror has been behind for longer than a push
+    /// Called with a peer's position. Returns a request if the mirror has been behind for longer than a push
     /// takes, and none was made a moment ago.
-    std::optional<StoreChangesRequest> compareWithPeer(std::uint64_t peerRevision, Instant now);
+    std::optional<StoreChangesRequest> compareWithPeer(const StorePosition& peer, Instant now);
 
 private:
+    StoreChangesRequest makeRequest() const;
+
     StoreMirror& m_mirror;
-    std::uint64_t m_pushedRevision { 0 };
-    std::uint64_t m_behindRevision { 0 }; // the mirror's revision when a peer was first seen ahead of it
+    StorePosition m_pushed; // up to where the others have the changes, by pushes of this or another node
+    StorePosition m_behindAt; // the mirror's position when a peer was first seen ahead of it
     Instant m_behindSince;
     std::optional<Instant> m_requestedAt;
 };
--- a/src/coordination/StoreMirror.cpp
+++ b/src/coordination/StoreMirror.cpp
@@ -4,11 +4,13 @@
 #include <algorithm>
 #include <set>
 #include <string_view>
+#include <utility>
 
 namespace Ebonystack {
 
-StoreMirror::StoreMirror(Listener listener)
+StoreMirror::StoreMirror(Listener listener, LossListener lossListener)
     : m_listener(std::move(listener))
+    , m_lossListener(std::move(lossListener))
 {
 }
 
@@ -25,18 +27,41 @@
     m_listener(item);
 }
 
+StoreMirror::Items StoreMirror::enterEra(std::uint64_t era)
+{
+    m_era = era;
+    m_revision = 0;
+    m_removalsKnownSince = 0;
+    return std::exchange(m_items, {});
+}
+
+void StoreMirror::reportLosses(const Items& previous)
+{
+    for (const auto& [key, item] : previous) {
+        const auto found = m_items.find(key);
+        const bool exists = found != m_items.end() && found->second.value;
+        if (item.value && !exists && m_lossListener)
+            m_lossListener(key);
+    }
+}
+
 void StoreMirror::applyListing(
-    const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision)
+    const std::string& prefix, const std::vector<StoreItem>& items, const StorePosition& position)
 {
+    if (position.era < m_era)
+        return;
+    const Items previous = position.era > m_era ? enterEra(position.era) : Items {};
     std::set<std::string> listed;
     for (const StoreItem& item : items) {
         listed.insert(item.key);
         apply(item);
     }
-    removeOthers(
-        revision, [&](const std::string& key) { return !key.starts_with(prefix) || listed.contains(key); });
-    if (revision > m_revision)
-        m_removalsKnownSince = revision;
+    removeOthers(position.revision,
+        [&](const std::string& key) { return !key.starts_with(prefix) || listed.contains(key); });
+    if (position.revision > m_revision)
+        m_removalsKnownSince = position.revision;
+    setCompleteRevision(position.revision);
+    reportLosses(previous);
 }
 
 template <typename Predicate> void StoreMirror::removeOthers(std::uint64_t revision, Predicate&& exists)
@@ -52,6 +77,11 @@
 
 bool StoreMirror::applyUpdate(const StoreUpdate& update)
 {
+    if (update.era < m_era)
+        return true; // the sender is behind
+    if (update.era > m_era && update.since > 0)
+        return false;
+    const Items previous = update.era > m_era ? enterEra(update.era) : Items {};
     for (const StoreItem& item : update.items)
         apply(item);
     if (update.otherKeys) {
@@ -67,18 +97,19 @@
     if (update.otherKeys && update.revision > m_revision)
         m_removalsKnownSince = update.revision;
     setCompleteRevision(update.revision);
+    reportLosses(previous);
     return true;
 }
 
 void StoreMirror::setCompleteRevision(std::uint64_t revision) { m_revision = std::max(m_revision, revision); }
 
-StoreUpdate StoreMirror::changesSince(std::uint64_t since) const
+StoreUpdate StoreMirror::changesSince(const StorePosition& since) const
 {
-    StoreUpdate update { since, m_revision, {}, std::nullopt };
-    if (since < m_removalsKnownSince)
+    StoreUpdate update { since.era == m_era ? since.revision : 0, m_revision, {}, std::nullopt, m_era };
+    if (update.since < m_removalsKnownSince)
         update.otherKeys.emplace();
     for (const auto& [key, item] : m_items) {
-        if (item.revision > since)
+        if (item.revision > update.since)
             update.items.push_back(item);
         else if (update.otherKeys && item.value)
             update.otherKeys->push_back(key);
--- a/src/coordination/StoreMirror.h
+++ b/src/coordination/StoreMirror.h
@@ -1,8 +1,10 @@
 // A copy of the items in the platform's store, with the revision of each item. Nodes that the store rejects
-// fill their copy from a peer. An item of a higher revision always replaces one of a lower revision.
+// fill their copy from a peer. Within an era of the store an item of a higher revision replaces one of a
+// lower revision; a later era replaces the copy.
 #pragma once
 
 #include "state/StoreItem.h"
+#include "state/StorePosition.h"
 #include "state/StoreUpdate.h"
 
 #include <cstdint>
@@ -18,33 +20,45 @@
 class StoreMirror {
 public:
     using Listener = std::function<void(const StoreItem&)>;
+    using LossListener = std::function<void(const std::string& key)>;
 
-    /// Calls `listener` for each item that changes.
-    explicit StoreMirror(Listener listener);
+    /// Calls `listener` for each item that changes, and for each item of a new era. Calls `lossListener` for
+    /// the keys that a new era lacks: their writes may be lost, and made again.
+    explicit StoreMirror(Listener listener, LossListener lossListener = {});
 
-    /// Applies a change, unless the copy has the item with the same or a higher revision, or is complete up to
-    /// the change's revision.
+    /// Applies a change of the copy's era, unless the copy has the item with the same or a higher revision,
+    /// or is complete up to the change's revision.
     void apply(const StoreItem&);
-    /// Applies a complete listing of the keys that begin with `prefix`, read at `revision`. Removes the items
-    /// that are not in the listing and have not changed after `revision`.
-    void applyListing(const std::string& prefix, const std::vector<StoreItem>&, std::uint64_t revision);
-    /// Applies what another node has passed on. Returns false if changes before it are missing; its items are
-    /// applied then as well, but the copy does not count as complete up to its revision.
+    /// Applies a complete listing of the keys that begin with `prefix`, read at `position`. Removes the items
+    /// that are not in the listing and have not changed since. Does nothing if its era is over.
+    void applyListing(const std::string& prefix, const std::vector<StoreItem>&, const StorePosition&);
+    /// Applies what another node has passed on. Returns false if changes before it are missing; the copy then
+    /// does not count as complete up to its revision, but has its items if they are of the copy's era.
     bool applyUpdate(const StoreUpdate&);
-    /// Called when all changes up to `revision` have been applied.
+    /// Called when all changes up to `revision` of the copy's era have been applied.
     void setCompleteRevision(std::uint64_t revision);
 
-    /// The revision up to which the copy has all changes; 0 before the first listing.
+    /// Up to where the copy has all changes; revision 0 before the first listing.
+    StorePosition position() const { return { m_era, m_revision }; }
+    std::uint64_t era() const { return m_era; }
     std::uint64_t revision() const { return m_revision; }
-    /// What changed after `since`.
-    StoreUpdate changesSince(std::uint64_t since) const;
+    /// What changed after `since`: all items, if `since` is of another era.
+    StoreUpdate changesSince(const StorePosition& since) const;
 
 private:
+    using Items = std::map<std::string, StoreItem>;
+
+    /// Begins a new era without items; returns those of the last one.
+    Items enterEra(std::uint64_t era);
+    /// Reports the items of the last era that the new one lacks.
+    void reportLosses(const Items& previous);
     /// Removes the items that `exists` does not name and that have not changed after `revision`.
     template <typename Predicate> void removeOthers(std::uint64_t revision, Predicate&& exists);
 
     Listener m_listener;
-    std::map<std::string, StoreItem> m_items;
+    LossListener m_lossListener;
+    Items m_items; // of m_era
+    std::uint64_t m_era { 0 };
     std::uint64_t m_revision { 0 };
     // All removals after this revision are known. A listing names what exists, not what was removed before
     // it.
--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -128,8 +128,10 @@
 Json encode(const LinkHeartbeat& frame)
 {
     Json json = Json::array({ encodeLoad(frame.load), frame.storeRevision, frame.reachesStore });
-    if (frame.uptime)
-        json.push_back(*frame.uptime);
+    if (frame.uptime || frame.storeEra > 0)
+        json.push_back(encodeOptional(frame.uptime));
+    if (frame.storeEra > 0)
+        json.push_back(frame.storeEra);
     return json;
 }
 
@@ -168,7 +170,7 @@
 
 Json encode(const HopCancel& frame) { return Json::array({ frame.number }); }
 Json encode(const HopResume& frame) { return Json::array({ frame.numbers }); }
-Json encode(const StoreChangesRequest& frame) { return Json::array({ frame.since }); }
+Json encode(const StoreChangesRequest& frame) { return Json::array({ frame.since, frame.era }); }
 
 Json encodeItems(const std::vector<StoreItem>& items)
 {
@@ -190,13 +192,15 @@
 Json encode(const StoreChangesResponse& frame)
 {
     const StoreUpdate& update = frame.update;
-    return Json::array({ update.revision, encodeItems(update.items), update.since, encodeOtherKeys(update) });
+    return Json::array(
+        { update.revision, encodeItems(update.items), update.since, encodeOtherKeys(update), update.era });
 }
 
 Json encode(const StoreChangesPush& frame)
 {
     const StoreUpdate& update = frame.update;
-    return Json::array({ update.since, update.revision, encodeItems(update.items), encodeOtherKeys(update) });
+    return Json::array(
+        { update.since, update.revision, encodeItems(update.items), encodeOtherKeys(update), update.era });
 }
 
 Json encode(const TokenRequest& frame)
@@ -217,11 +221,18 @@
     return hello;
 }
 
+/// Nodes of the version before name no era, like stores without one.
+std::uint64_t decodeEra(const Json& json, std::size_t index)
+{
+    return json.size() > index ? json.at(index).get<std::uint64_t>() : 0;
+}
+
 PeerFrame decodeHeartbeat(const Json& json)
 {
     LinkHeartbeat heartbeat { decodeLoad(json.at(0)), json.at(1), json.at(2), std::nullopt };
     if (json.size() > 3)
-        heartbeat.uptime = json.at(3).get<double>();
+        heartbeat.uptime = decodeOptional(json.at(3));
+    heartbeat.storeEra = decodeEra(json, 4);
     return heartbeat;
 }
 
@@ -247,7 +258,10 @@
 
 PeerFrame decodeCancel(const Json& json) { return HopCancel { json.at(0) }; }
 PeerFrame decodeResume(const Json& json) { return HopResume { json.at(0) }; }
-PeerFrame decodeStoreChangesRequest(const Json& json) { return StoreChangesRequest { json.at(0) }; }
+PeerFrame decodeStoreChangesRequest(const Json& json)
+{
+    return StoreChangesRequest { json.at(0), decodeEra(json, 1) };
+}
 
 std::vector<StoreItem> decodeItems(const Json& array)
 {
@@ -272,12 +286,14 @@
 {
     const std::uint64_t revision = json.at(0);
     const std::uint64_t since = json.size() > 2 ? json.at(2).get<std::uint64_t>() : revision;
-    return StoreChangesResponse { { since, revision, decodeItems(json.at(1)), decodeOtherKeys(json, 3) } };
+    return StoreChangesResponse { { since, revision, decodeItems(json.at(1)), decodeOtherKeys(json, 3),
+        decodeEra(json, 4) } };
 }
 
 PeerFrame decodeStoreChangesPush(const Json& json)
 {
-    return StoreChangesPush { { json.at(0), json.at(1), decodeItems(json.at(2)), decodeOtherKeys(json, 3) } };
+    return StoreChangesPush { { json.at(0), json.at(1), decodeItems(json.at(2)), decodeOtherKeys(json, 3),
+        decodeEra(json, 4) } };
 }
 
 PeerFrame decodeTokenRequest(const Json& json)
--- a/src/protocol/PeerFrame.h
+++ b/src/protocol/PeerFrame.h
@@ -5,6 +5,7 @@
 
 #include "protocol/HttpMessage.h"
 #include "state/CostVector.h"
+#include "state/StorePosition.h"
 #include "state/StoreUpdate.h"
 #include "state/UpstreamLoad.h"
 #include "state/UpstreamRecord.h"
@@ -35,9 +36,10 @@
 /// Sent at regular intervals by the node that opened the link. The other node responds with its own.
 struct LinkHeartbeat {
     UpstreamLoad load;
-    std::uint64_t storeRevision { 0 }; ///< see StoreMirror::revision
+    std::uint64_t storeRevision { 0 }; ///< see StoreMirror::position
     bool reachesStore { true };
     std::optional<double> uptime; ///< of the sender's process, in seconds; optional on the wire
+    std::uint64_t storeEra { 0 }; ///< of the revision; optional on the wire
 
     auto operator<=>(const LinkHeartbeat&) const = default;
 };
@@ -125,6 +127,7 @@
 /// Requests the items of the store that changed after a revision.
 struct StoreChangesRequest {
     std::uint64_t since { 0 };
+    std::uint64_t era { 0 }; ///< of the revision; optional on the wire
 
     auto operator<=>(const StoreChangesRequest&) const = default;
 };
--- a/src/protocol/PlatformAdapter.h
+++ b/src/protocol/PlatformAdapter.h
@@ -31,6 +31,7 @@
     std::string leaving; ///< in responses, with the value 1: the upstream is leaving
     std::string callerService; ///< for the upstream: the service in whose VM the request originated
     std::string apiKey; ///< holds the caller's API key
+    std::string storeEra; ///< in the store's responses: see StorePosition
     std::string apiKeyScheme; ///< the authentication scheme in front of the API key
 
     auto operator<=>(const FieldNames&) const = default;
--- a/src/state/StoreUpdate.h
+++ b/src/state/StoreUpdate.h
@@ -20,6 +20,7 @@
     /// The keys of the other items that exist at `revision`. Set if removals after `since` may be missing in
     /// `items`: an item that is in neither does not exist.
     std::optional<std::vector<std::string>> otherKeys;
+    std::uint64_t era { 0 }; ///< of all revisions here; see StorePosition
 
     auto operator<=>(const StoreUpdate&) const = default;
 };
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -73,7 +73,8 @@
         : m_state(m_io, std::move(settings), adapter, randomSeed())
         , m_reload(std::move(reload))
         , m_localOrigin { m_state.settings.vm, randomSeed() | 1 }
-        , m_mirror([this](const StoreItem& item) { onStoreItem(item); })
+        , m_mirror([this](const StoreItem& item) { onStoreItem(item); },
+              [this](const std::string& key) { onStoreItemLost(key); })
         , m_store(m_io, m_state.timers, adapter, m_mirror, m_state.log, m_state.settings.storeAddress,
               randomSeed())
         , m_links(m_io, m_state.log, *this, { m_localOrigin.vm, m_localOrigin.incarnation },
@@ -155,7 +156,7 @@
                 { "limit", load.gate.limit }, { "shedShare", load.shedShare },
                 { "holdMs", toMilliseconds(load.meanServiceTime) }, { "accepts", load.acceptsRequests },
                 { "openCalls", m_entry.openCount() }, { "linksUp", m_links.upCount() },
-                { "storeRevision", m_mirror.revision() } };
+                { "storeRevision", m_mirror.revision() }, { "storeEra", m_mirror.era() } };
         });
     }
 
@@ -262,9 +263,24 @@
         });
     }
 
+    /// Called when a restored store lacks an item. A lost configuration stays in force until it is written
+    /// again.
+    void onStoreItemLost(const std::string& key)
+    {
+        const auto instance = m_state.adapter.instanceOfKey(key);
+        if (!instance)
+            return;
+        const Instant now = monotonicNow();
+        m_state.directory.remove(*instance, now + restoredRecordGrace, now);
+        m_directoryChanged = true;
+        m_state.log.state("upstream entry lost", now, [&] {
+            return nlohmann::json { { "instance", instance->text }, { "era", m_mirror.era() } };
+        });
+    }
+
     void onUpstreamRecord(const UpstreamRecord& upstream, std::uint64_t revision, Instant now)
     {
-        m_state.directory.put(upstream, { 0, revision }, now);
+        m_state.directory.put(upstream, { m_mirror.era(), revision }, now);
         m_directoryChanged = true;
         m_state.log.state("upstream entry", now, [&] {
             return nlohmann::json { { "instance", upstream.instance.text },
@@ -295,8 +311,8 @@
     LinkHeartbeat localHeartbeat() const override
     {
         const Instant now = monotonicNow();
-        return { m_hop.load(), m_mirror.revision(), !m_store.isUnreachable(now),
-            toSeconds(now - m_startedAt) };
+        return { m_hop.load(), m_mirror.revision(), !m_store.isUnreachable(now), toSeconds(now - m_startedAt),
+            m_mirror.era() };
     }
 
     void onHeartbeat(const VmId& vm, const LinkHeartbeat& heartbeat) override
@@ -304,7 +320,7 @@
         const Instant now = monotonicNow();
         m_state.recordLoadReport(vm, heartbeat.load, now);
         m_storeReachability.report(vm, heartbeat.reachesStore, now);
-        m_feed.onPeerRevision(vm, heartbeat.storeRevision, now);
+        m_feed.onPeerPosition(vm, { heartbeat.storeEra, heartbeat.storeRevision }, now);
     }
 
     void onLinkUp(const VmId& vm, bool sameProcess) override { m_entry.onLinkUp(vm, sameProcess); }
@@ -339,7 +355,7 @@
         m_hop.originLost(origin, processEnded);
     }
 
-    StoreChangesResponse storeChanges(std::uint64_t since) const override
+    StoreChangesResponse storeChanges(const StorePosition& since) const override
     {
         return { m_mirror.changesSince(since) };
     }
@@ -401,11 +417,10 @@
     StatusPage metricsPage() const
     {
         const auto lastSuccessAt = m_store.lastSuccessAt();
-        const auto silence
-            = lastSuccessAt ? std::optional(monotonicNow() - *lastSuccessAt) : std::nullopt;
+        const auto silence = lastSuccessAt ? std::optional(monotonicNow() - *lastSuccessAt) : std::nullopt;
         const SidecarStats stats { m_hop.load(), m_callers.connectionCount(), m_pool.connectionCount(),
             m_pool.openedCount(), m_links.upCount(), m_store.callCount(), m_entry.openCount(),
-            m_hop.openCount(), m_mirror.revision(), silence };
+            m_hop.openCount(), m_mirror.revision(), m_mirror.era(), silence };
         return { 200, "text/plain; version=0.0.4", writeSidecarMetrics(m_state, stats) };
     }
 
--- a/src/transport/SidecarMetrics.cpp
+++ b/src/transport/SidecarMetrics.cpp
@@ -81,6 +81,8 @@
         "ebony_open_hops", "Requests for the upstream under way.", static_cast<double>(stats.openHops)));
     families.push_back(makeGauge("ebony_store_revision", "Changes of the store known up to.",
         static_cast<double>(stats.storeRevision)));
+    families.push_back(makeGauge("ebony_store_era", "Era of the store to which the revision belongs.",
+        static_cast<double>(stats.storeEra)));
     if (stats.storeSilence)
         families.push_back(makeGauge("ebony_store_silence_seconds",
             "Time since the store's last response to this node.", toSeconds(*stats.storeSilence)));
--- a/src/transport/SidecarMetrics.h
+++ b/src/transport/SidecarMetrics.h
@@ -21,6 +21,7 @@
     std::size_t openCalls { 0 };
     std::size_t openHops { 0 };
     std::uint64_t storeRevision { 0 };
+    std::uint64_t storeEra { 0 }; ///< of the revision
     std::optional<Duration> storeSilence; ///< since the store's last response to this node; none before it
 
     auto operator<=>(const SidecarStats&) const = default;
--- a/src/transport/StoreFeed.cpp
+++ b/src/transport/StoreFeed.cpp
@@ -85,20 +85,20 @@
         m_links.sendToAll(m_localPeers, *push);
 }
 
-void StoreFeed::onPeerRevision(const VmId& vm, std::uint64_t revision, Instant now)
+void StoreFeed::onPeerPosition(const VmId& vm, const StorePosition& position, Instant now)
 {
-    if (const auto request = m_relay.compareWithPeer(revision, now))
+    if (const auto request = m_relay.compareWithPeer(position, now))
         m_links.send(vm, *request);
 }
 
 void StoreFeed::onChanges(const StoreChangesResponse& response, Instant now)
 {
     const StoreUpdate& update = response.update;
-    if (update.revision <= m_mirror.revision())
+    if (StorePosition { update.era, update.revision } <= m_mirror.position())
         return;
     m_state.log.state("store changes from a peer", now, [&] {
-        return nlohmann::json { { "revision", update.revision }, { "had", m_mirror.revision() },
-            { "since", update.since }, { "items", update.items.size() },
+        return nlohmann::json { { "revision", update.revision }, { "era", update.era },
+            { "had", m_mirror.revision() }, { "since", update.since }, { "items", update.items.size() },
             { "removalsMissing", update.otherKeys.has_value() } };
     });
     m_relay.receiveResponse(response);
@@ -115,8 +115,8 @@
     if (const auto request = m_relay.receivePush(push))
         m_links.send(vm, *request);
     m_state.log.state("store changes pushed", now, [&] {
-        return nlohmann::json { { "from", vm.text }, { "revision", push.update.revision }, { "had", had },
-            { "items", push.update.items.size() } };
+        return nlohmann::json { { "from", vm.text }, { "revision", push.update.revision },
+            { "era", push.update.era }, { "had", had }, { "items", push.update.items.size() } };
     });
 }
 
--- a/src/transport/StoreFeed.h
+++ b/src/transport/StoreFeed.h
@@ -25,8 +25,8 @@
     /// Takes the role that follows from the links and from who reaches the store. Called about every 50 ms.
     void tick(Instant now);
 
-    /// Called with the revision that a peer's heartbeat reports.
-    void onPeerRevision(const VmId&, std::uint64_t revision, Instant now);
+    /// Called with the position that a peer's heartbeat reports.
+    void onPeerPosition(const VmId&, const StorePosition&, Instant now);
     void onChanges(const StoreChangesResponse&, Instant now);
     void onPush(const VmId&, const StoreChangesPush&, Instant now);
 
--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -2,11 +2,13 @@
 #include "transport/StoreReader.h"
 
 #include "coordination/StoreCallTimeout.h"
+#include "protocol/StoreEraDecoder.h"
 #include "transport/ByteStream.h"
 #include "transport/HttpCodec.h"
 #include "transport/SystemClock.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <vector>
 
@@ -28,6 +30,8 @@
 /// Calls that fail for longer make the store unreachable. A watch that lost its connection recovers sooner.
 constexpr Duration unreachableThreshold = 600ms;
 constexpr Duration probeTimeout = 1500ms;
+/// How long a node that doesn't watch and learns of a new era waits for the readers' push before it lists.
+constexpr Duration newEraPushWait = 500ms;
 /// Minimum time between two reconnects of a watch that may be dead.
 constexpr Duration minReconnectInterval = 2s;
 constexpr std::uint64_t maxBodyBytes = 16U << 20;
@@ -39,17 +43,20 @@
 
 class StoreReader::Internals : public std::enable_shared_from_this<Internals> {
 public:
+    enum class Call : std::uint8_t { Listing, Watch, Probe };
+
     /// The connection and the call in flight.
     struct Connection {
         std::shared_ptr<ByteStream> stream;
         std::optional<ResponseParser> parser; // set while a call is in flight
         std::string input;
         std::optional<TimerId> timeout; // of the call in flight, or the delay before the next call
-        bool probing { false }; // the call in flight is a probe
+        Call call { Call::Listing }; // the call in flight, or the last one
+        std::uint64_t askedEra { 0 }; // of the mirror, when the call in flight was sent
         Instant sentAt; // when the call in flight was sent
         std::optional<Duration> watchWait; // of the watch in flight; nothing while another call is
         std::vector<StoreItem> listedItems; // from the pages received so far
-        std::uint64_t listRevision { 0 }; // of the listing's first page; 0: no page yet
+        StorePosition listPosition; // of the listing's first page; revision 0: no page yet
         int failures { 0 }; // in a row
         std::uint64_t generation { 0 }; // incremented at each step; callbacks of earlier steps do nothing
     };
@@ -115,14 +122,15 @@
         // After a failure the first watch returns at once, so that recovery is detected even if nothing
         // changes in the store.
         const bool isRetry = connection->failures > 0;
-        connection->probing = hasListing() && plan.mode == StoreMode::Probe;
         connection->watchWait.reset();
+        connection->askedEra = mirror.era();
         std::string target;
         Duration timeout = listTimeout;
-        if (connection->probing) {
+        connection->call = nextCall();
+        if (connection->call == Call::Probe) {
             target = adapter.probeTarget();
             timeout = probeTimeout;
-        } else if (hasListing()) {
+        } else if (connection->call == Call::Watch) {
             const Duration wait = isRetry ? recoveryWait : plan.watchWait;
             target = adapter.watchTarget(adapter.publishedPrefix(), mirror.revision(), wait);
             timeout = wait + callTimeout.silentAfter(isRetry);
@@ -144,13 +152,21 @@
     }
 
     /// Whether all keys are listed, so that the next call is a watch or a probe.
-    bool hasListing() const { return hasListed && !mustListAgain; }
+    bool hasListing() const { return hasListed && !mustListAgain && seenEra <= mirror.era(); }
+
+    Call nextCall() const
+    {
+        if (hasListing())
+            return plan.mode == StoreMode::Probe ? Call::Probe : Call::Watch;
+        const bool mayGetPush = hasListed && !mustListAgain && plan.mode == StoreMode::Probe
+            && monotonicNow() - newEraSeenAt < newEraPushWait;
+        return mayGetPush ? Call::Probe : Call::Listing;
+    }
 
     std::string_view describeCall() const
     {
-        if (!hasListing())
-            return "listing";
-        return connection->probing ? "probe" : "watch";
+        constexpr std::array<std::string_view, 3> names { "listing", "watch", "probe" };
+        return names.at(static_cast<std::size_t>(connection->call));
     }
 
     void onTimeout() { fail("no response before the timeout", true); }
@@ -177,13 +193,18 @@
     void onResponse(const HttpResponse& response)
     {
         const std::uint16_t status = response.head.status;
-        if (connection->probing) {
+        const std::uint64_t era = eraOf(response);
+        if (connection->call == Call::Probe) {
             if (status != statusOk && status != statusNotFound)
                 return fail("expected HTTP status 200 or 404, got " + std::to_string(status));
             callTimeout.recordResponseTime(monotonicNow() - connection->sentAt);
             return onSuccess(true);
         }
-        if (status == statusGone && hasListing()) {
+        if (era < mirror.era())
+            return fail("the response is of an earlier era of the store");
+        if (status == statusOk && connection->call == Call::Watch && era != connection->askedEra)
+            return sendRequest(); // its revision means something else now
+        if (status == statusGone && connection->call == Call::Watch) {
             mustListAgain = true;
             log.state("store history lost", monotonicNow(), [&] {
                 return nlohmann::json { { "prefix", adapter.publishedPrefix() },
@@ -195,7 +216,8 @@
         if (status != statusOk)
             return fail("expected HTTP status 200, got " + std::to_string(status));
         const std::uint64_t known = mirror.revision();
-        const bool isApplied = hasListing() ? applyChanges(response.body) : applyPage(response.body);
+        const bool isApplied
+            = connection->call == Call::Watch ? applyChanges(response.body) : applyPage(response.body, era);
         if (!isApplied)
             return;
         const Duration took = monotonicNow() - connection->sentAt;
@@ -220,9 +242,11 @@
         if (failingSince && *lastSuccessAt - outageSince >= minOutageForLapse)
             recoveredAt = lastSuccessAt;
         failingSince.reset();
-        if (!connection->probing && onChanges)
+        if (connection->call != Call::Probe && onChanges)
             onChanges();
-        if (hasListing() && pauses)
+        if (connection->call == Call::Probe && !hasListing())
+            schedule(newEraPushWait, &Internals::sendRequest);
+        else if (hasListing() && pauses)
             schedule(fromSeconds(toSeconds(plan.interval) * (0.5 + random.uniform() / 2)),
                 &Internals::sendRequest);
         else
@@ -232,26 +256,52 @@
     void resetListing()
     {
         connection->listedItems.clear();
-        connection->listRevision = 0;
+        connection->listPosition = {};
     }
 
-    bool applyPage(const std::string& body)
+    /// The era that the response names, or the latest known if it names none that is usable.
+    std::uint64_t eraOf(const HttpResponse& response)
+    {
+        const auto known = hasListed ? std::optional(std::max(seenEra, mirror.era())) : std::nullopt;
+        const auto era = decodeStoreEra(response.head.fields, adapter.fieldNames(), known);
+        if (!era) {
+            log.state("store era not usable", monotonicNow(), [&] {
+                return nlohmann::json { { "reason", era.error() } };
+            });
+            return std::max(seenEra, mirror.era());
+        }
+        const std::uint64_t named = era->value_or(std::max(seenEra, mirror.era()));
+        if (hasListed && named > std::max(seenEra, mirror.era())) {
+            newEraSeenAt = monotonicNow();
+            log.state("store restored", monotonicNow(), [&] {
+                return nlohmann::json { { "era", named }, { "was", mirror.era() },
+                    { "revision", mirror.revision() }, { "call", describeCall() } };
+            });
+        }
+        seenEra = std::max(seenEra, named);
+        return named;
+    }
+
+    bool applyPage(const std::string& body, std::uint64_t era)
     {
         auto page = adapter.readPage(body);
         if (!page) {
             fail(page.error());
             return false;
         }
-        if (connection->listRevision == 0)
-            connection->listRevision = page->revision;
+        if (connection->listPosition.revision == 0)
+            connection->listPosition = { era, page->revision };
+        if (connection->listPosition.era != era) {
+            fail("the store was restored during the listing");
+            return false;
+        }
         const bool hasNextPage = page->hasMore && !page->items.empty();
         std::ranges::move(page->items, std::back_inserter(connection->listedItems));
         if (hasNextPage)
             return true;
         hasListed = true;
         mustListAgain = false;
-        mirror.applyListing(adapter.publishedPrefix(), connection->listedItems, connection->listRevision);
-        mirror.setCompleteRevision(connection->listRevision);
+        mirror.applyListing(adapter.publishedPrefix(), connection->listedItems, connection->listPosition);
         resetListing();
         return true;
     }
@@ -285,7 +335,7 @@
         const Instant now = monotonicNow();
         if (!failingSince) {
             failingSince = now;
-            outageSince = isSilent || connection->probing ? lastSuccessAt.value_or(now) : now;
+            outageSince = isSilent || connection->call == Call::Probe ? lastSuccessAt.value_or(now) : now;
         }
         // The connection alone may have gone silent; then a new one is the whole repair.
         const bool retriesAtOnce = isSilent && connection->watchWait && connection->failures == 0;
@@ -331,6 +381,10 @@
     StoreCallTimeout callTimeout;
     bool hasListed { false }; // all keys, at least once
     bool mustListAgain { false }; // the history after the known revision is lost
+    std::uint64_t seenEra {
+        0
+    }; // the latest that the store has named; while the mirror's is earlier, it lists
+    Instant newEraSeenAt;
     std::function<void()> onChanges;
     std::optional<Instant> failingSince; // set while calls fail
     Instant outageSince; // while calls fail: the earliest time at which the store may have stopped responding
@@ -356,8 +410,8 @@
     if (reader.reconnectedAt && now - *reader.reconnectedAt < minReconnectInterval)
         return;
     reader.reconnectedAt = now;
-    const bool isWaiting
-        = reader.hasListing() && reader.connection->parser && reader.connection->failures == 0;
+    const bool isWaiting = reader.connection->call == Internals::Call::Watch && reader.connection->parser
+        && reader.connection->failures == 0;
     if (isWaiting)
         reader.reconnect();
 }
--- a/test/correctness/ServiceSplitAndStoreMirror.cpp
+++ b/test/correctness/ServiceSplitAndStoreMirror.cpp
@@ -51,7 +51,7 @@
     mirror.apply({ "a", 1, "1" });
     mirror.apply({ "b", 2, "2" });
     mirror.apply({ "c", 9, "3" });
-    mirror.applyListing("", { { "a", 1, "1" } }, 7);
+    mirror.applyListing("", { { "a", 1, "1" } }, { 0, 7 });
     CHECK(removed == std::vector<std::string> { "b" });
 }
 
@@ -62,21 +62,21 @@
     mirror.apply({ "b", 2, "2" });
     mirror.apply({ "a", 3, std::nullopt });
     const std::vector<StoreItem> expected { { "a", 3, std::nullopt }, { "b", 2, "2" } };
-    CHECK(mirror.changesSince(1).items == expected);
-    CHECK(mirror.changesSince(3).items.empty());
+    CHECK(mirror.changesSince({ 0, 1 }).items == expected);
+    CHECK(mirror.changesSince({ 0, 3 }).items.empty());
 }
 
 TEST_CASE("a peer that is behind a mirror's listing learns of the removals before it")
 {
     StoreMirror started([](const StoreItem&) {});
-    started.applyListing("", { { "kept", 3, "1" } }, 9);
+    started.applyListing("", { { "kept", 3, "1" } }, { 0, 9 });
     started.setCompleteRevision(9);
     std::vector<StoreItem> changes;
     StoreMirror behind([&](const StoreItem& item) { changes.push_back(item); });
-    behind.applyListing("", { { "kept", 3, "1" }, { "gone", 4, "2" } }, 5);
+    behind.applyListing("", { { "kept", 3, "1" }, { "gone", 4, "2" } }, { 0, 5 });
     behind.setCompleteRevision(5);
     changes.clear();
-    CHECK(behind.applyUpdate(started.changesSince(5)));
+    CHECK(behind.applyUpdate(started.changesSince({ 0, 5 })));
     CHECK(changes == std::vector<StoreItem> { { "gone", 9, std::nullopt } });
     CHECK(behind.revision() == 9);
 }
@@ -85,7 +85,7 @@
 {
     std::vector<StoreItem> changes;
     StoreMirror mirror([&](const StoreItem& item) { changes.push_back(item); });
-    mirror.applyListing("", {}, 9);
+    mirror.applyListing("", {}, { 0, 9 });
     mirror.setCompleteRevision(9);
     mirror.applyUpdate({ 3, 4, { { "gone", 4, "2" } }, std::nullopt });
     CHECK(changes.empty());
@@ -94,12 +94,12 @@
 TEST_CASE("a mirror that was filled across a gap of removals passes the gap on as unknown")
 {
     StoreMirror started([](const StoreItem&) {});
-    started.applyListing("", { { "kept", 3, "1" } }, 9);
+    started.applyListing("", { { "kept", 3, "1" } }, { 0, 9 });
     started.setCompleteRevision(9);
     StoreMirror filled([](const StoreItem&) {});
-    filled.applyListing("", { { "kept", 3, "1" } }, 7);
+    filled.applyListing("", { { "kept", 3, "1" } }, { 0, 7 });
     filled.setCompleteRevision(7);
-    REQUIRE(filled.applyUpdate(started.changesSince(7)));
-    CHECK(filled.changesSince(4).otherKeys == std::vector<std::string> { "kept" });
-    CHECK_FALSE(filled.changesSince(9).otherKeys);
+    REQUIRE(filled.applyUpdate(started.changesSince({ 0, 7 })));
+    CHECK(filled.changesSince({ 0, 4 }).otherKeys == std::vector<std::string> { "kept" });
+    CHECK_FALSE(filled.changesSince({ 0, 9 }).otherKeys);
 }
--- a/test/fuzz/PeerFramesHandleMalformedInput.cpp
+++ b/test/fuzz/PeerFramesHandleMalformedInput.cpp
@@ -39,9 +39,10 @@
     response.gateWait = 3ms;
     response.arrivals = { { { "deep" }, 8 } };
     return { LinkHello { { "10.0.0.1" }, 99 }, LinkHeartbeat { response.load, 5, false, 1.5 },
-        LinkHeartbeat { response.load, 5, true, std::nullopt }, request, response, HopCancel { 7 },
-        HopResume { { 1, 2 } }, StoreChangesRequest { 4 },
-        StoreChangesResponse { { 4, 6, { { "k", 5, "v" }, { "l", 6, std::nullopt } }, { { "m" } } } },
+        LinkHeartbeat { response.load, 5, true, std::nullopt },
+        LinkHeartbeat { response.load, 5, true, std::nullopt, 3 }, request, response, HopCancel { 7 },
+        HopResume { { 1, 2 } }, StoreChangesRequest { 4, 2 },
+        StoreChangesResponse { { 4, 6, { { "k", 5, "v" }, { "l", 6, std::nullopt } }, { { "m" } }, 2 } },
         TokenRequest { 1, { "team" }, 3 }, TokenResponse { 1, 2, 5ms },
         StoreChangesPush { { 4, 6, { { "k", 5, "v" }, { "l", 6, std::nullopt } }, std::nullopt } } };
 }
--- a/test/property/StoreChangesReachAllNodes.cpp
+++ b/test/property/StoreChangesReachAllNodes.cpp
@@ -1,6 +1,6 @@
 // Random small fleets whose readers pass on the store's changes over links that lose, repeat and reorder
-// them, while nodes restart. A node never counts a change as known that it lacks, and never goes back to an
-// older version; with the links restored all nodes agree with the store.
+// them, while nodes restart and the store comes back from copies. A node never counts a change as known that
+// it lacks, and never goes back to an older version; with the links restored all nodes agree with the store.
 #include "coordination/StoreChangeRelay.h"
 #include "coordination/StoreRoles.h"
 
@@ -21,13 +21,21 @@
 struct Store {
     std::vector<StoreItem> changes;
     std::uint64_t historySince { 0 };
+    std::uint64_t era { 1 };
 
     std::uint64_t revision() const { return changes.size() + 1; }
+    StorePosition position() const { return { era, revision() }; }
+    /// Comes back without its newest changes, whose revisions are given out again.
+    void restore(std::size_t lost)
+    {
+        changes.resize(changes.size() - std::min(lost, changes.size()));
+        ++era;
+    }
     void change(int key, bool removes)
     {
         const std::uint64_t next = revision() + 1;
         changes.push_back({ "k" + std::to_string(key), next,
-            removes ? std::nullopt : std::optional(std::to_string(next)) });
+            removes ? std::nullopt : std::optional(std::to_string(era) + '/' + std::to_string(next)) });
     }
     std::map<std::string, StoreItem> itemsAt(std::uint64_t at) const
     {
@@ -41,25 +49,28 @@
 };
 
 struct Node {
-    std::map<std::string, StoreItem> items;
+    std::map<std::string, std::pair<StorePosition, std::optional<std::string>>> items;
     StoreMirror mirror { [this](const StoreItem& item) {
-        RC_ASSERT(items[item.key].revision < item.revision);
-        items[item.key] = item;
-    } };
+                            auto& [position, value] = items[item.key];
+                            const StorePosition next { mirror.era(), item.revision };
+                            RC_ASSERT(position < next);
+                            position = next;
+                            value = item.value;
+                        },
+        [this](const std::string& key) { items.erase(key); } };
     StoreChangeRelay relay { mirror };
 
     /// Reads what the store has now: what changed, or a listing if the node has just started or the store has
     /// forgotten the changes since the node's revision.
     void readStore(const Store& store)
     {
-        if (mirror.revision() < std::max<std::uint64_t>(store.historySince, 1)) {
+        if (mirror.position() < StorePosition { store.era, std::max<std::uint64_t>(store.historySince, 1) }) {
             std::vector<StoreItem> listing;
             for (const auto& [key, item] : store.itemsAt(store.revision())) {
                 if (item.value)
                     listing.push_back(item);
             }
-            mirror.applyListing("", listing, store.revision());
-            return mirror.setCompleteRevision(store.revision());
+            return mirror.applyListing("", listing, store.position());
         }
         for (const StoreItem& item : store.changes) {
             if (item.revision > mirror.revision())
@@ -71,19 +82,25 @@
 
 void checkKnownChanges(const Store& store, const Node& node)
 {
+    if (node.mirror.era() != store.era)
+        return; // the node has not heard of the restore yet
     for (const auto& [key, item] : store.itemsAt(node.mirror.revision())) {
         const auto known = node.items.find(key);
         const bool isKnown = known != node.items.end();
+        const StorePosition written { store.era, item.revision };
+        const bool isNewEnough = isKnown && known->second.first >= written;
         if (item.value)
-            RC_ASSERT(isKnown && known->second.revision >= item.revision);
+            RC_ASSERT(isNewEnough);
         else // what the node had before may be unknown to it as well, or removed
-            RC_ASSERT(!isKnown || !known->second.value || known->second.revision >= item.revision);
+            RC_ASSERT(!isKnown || !known->second.second || isNewEnough);
     }
 }
 
 } // namespace
 
-TEST_CASE("pushes that are lost, repeated, reordered or from a restarted reader leave no gap unnoticed")
+TEST_CASE(
+    "pushes that are lost, repeated, reordered or from a restarted reader, and stores that are restored, "
+    "leave no gap unnoticed")
 {
     CHECK(rc::check([] {
         Store store;
@@ -100,7 +117,7 @@
             now += 60ms;
             const int nodeIndex = step % nodeCount;
             Node& node = *nodes[static_cast<std::size_t>(nodeIndex)];
-            switch (step / nodeCount % 8) {
+            switch (step / nodeCount % 9) {
             case 0:
             case 1:
                 store.change(step % keyCount, step % 7 == 0);
@@ -128,14 +145,21 @@
             case 5: // a node that is behind requests what it lacks from another, whichever that is
             case 6: {
                 Node& other = *nodes[static_cast<std::size_t>(step / 7 % nodeCount)];
-                node.relay.compareWithPeer(other.mirror.revision(), now);
+                node.relay.compareWithPeer(other.mirror.position(), now);
                 now += 300ms; // no push arrives meanwhile
-                if (const auto request = node.relay.compareWithPeer(other.mirror.revision(), now))
-                    node.relay.receiveResponse({ other.mirror.changesSince(request->since) });
+                if (const auto request = node.relay.compareWithPeer(other.mirror.position(), now))
+                    node.relay.receiveResponse(
+                        { other.mirror.changesSince({ request->era, request->since }) });
                 if (step % 11 == 0)
                     store.historySince = store.revision();
                 break;
             }
+            case 7:
+                if (step % 4 == 0) {
+                    store.restore(static_cast<std::size_t>(step % 13));
+                    store.historySince = std::min(store.historySince, store.revision());
+                }
+                break;
             default: // the node restarts; without the store it begins empty
                 nodes[static_cast<std::size_t>(nodeIndex)] = std::make_unique<Node>();
                 if (step % 2 == 0)
@@ -150,12 +174,13 @@
         for (int round = 0; round < 10; ++round) {
             now += 300ms;
             for (const auto& each : nodes) {
-                if (const auto request = each->relay.compareWithPeer(nodes[0]->mirror.revision(), now))
-                    each->relay.receiveResponse({ nodes[0]->mirror.changesSince(request->since) });
+                if (const auto request = each->relay.compareWithPeer(nodes[0]->mirror.position(), now))
+                    each->relay.receiveResponse(
+                        { nodes[0]->mirror.changesSince({ request->era, request->since }) });
             }
         }
         for (const auto& each : nodes) {
-            RC_ASSERT(each->mirror.revision() == store.revision());
+            RC_ASSERT(each->mirror.position() == store.position());
             checkKnownChanges(store, *each);
         }
     }));
--- a/tools/lab/SimplePlatformAdapter.h
+++ b/tools/lab/SimplePlatformAdapter.h
@@ -11,7 +11,7 @@
     const FieldNames& fieldNames() const override
     {
         static const FieldNames names { "X-Id", "X-Left", "X-Seal", "X-Team", "X-Expect", "X-Instance",
-            "X-Load", "X-Not-Run", "X-Limit", "X-Leaving", "X-Caller", "Authorization", "Bearer" };
+            "X-Load", "X-Not-Run", "X-Limit", "X-Leaving", "X-Caller", "Authorization", "X-Era", "Bearer" };
         return names;
     }
     const std::string& publishedPrefix() const override
