Take changes from nodes of the version before as of the own era

Callers could see: during a rolling update changes late on the nodes of the new version, in deployments whose store names its era: the pushes and heartbeats of the version before name none, and were read as of an era that is over. Found by reading; the test fails without the change.

--- a/src/coordination/StoreChangeRelay.cpp
+++ b/src/coordination/StoreChangeRelay.cpp
@@ -40,7 +40,8 @@
         return std::nullopt; // the first listing brings the changes
     if (!m_mirror.applyUpdate(push.update))
         return makeRequest();
-    m_pushed = std::max(m_pushed, StorePosition { push.update.era, push.update.revision });
+    m_pushed = std::max(
+        m_pushed, StorePosition { push.update.era.value_or(m_mirror.era()), push.update.revision });
     return std::nullopt;
 }
 
--- a/src/coordination/StoreMirror.cpp
+++ b/src/coordination/StoreMirror.cpp
@@ -77,11 +77,12 @@
 
 bool StoreMirror::applyUpdate(const StoreUpdate& update)
 {
-    if (update.era < m_era)
+    const std::uint64_t era = update.era.value_or(m_era);
+    if (era < m_era)
         return true; // the sender is behind
-    if (update.era > m_era && update.since > 0)
+    if (era > m_era && update.since > 0)
         return false;
-    const Items previous = update.era > m_era ? enterEra(update.era) : Items {};
+    const Items previous = era > m_era ? enterEra(era) : Items {};
     for (const StoreItem& item : update.items)
         apply(item);
     if (update.otherKeys) {
--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -79,7 +79,10 @@
     return fields;
 }
 
-Json encodeOptional(const std::optional<double>& number) { return number ? Json(*number) : Json(); }
+template <typename Number> Json encodeOptional(const std::optional<Number>& number)
+{
+    return number ? Json(*number) : Json();
+}
 
 /// Nothing if the number is missing or no finite number from 0.
 std::optional<double> decodeOptional(const Json& json)
@@ -128,10 +131,10 @@
 Json encode(const LinkHeartbeat& frame)
 {
     Json json = Json::array({ encodeLoad(frame.load), frame.storeRevision, frame.reachesStore });
-    if (frame.uptime || frame.storeEra > 0)
+    if (frame.uptime || frame.storeEra)
         json.push_back(encodeOptional(frame.uptime));
-    if (frame.storeEra > 0)
-        json.push_back(frame.storeEra);
+    if (frame.storeEra)
+        json.push_back(*frame.storeEra);
     return json;
 }
 
@@ -170,7 +173,10 @@
 
 Json encode(const HopCancel& frame) { return Json::array({ frame.number }); }
 Json encode(const HopResume& frame) { return Json::array({ frame.numbers }); }
-Json encode(const StoreChangesRequest& frame) { return Json::array({ frame.since, frame.era }); }
+Json encode(const StoreChangesRequest& frame)
+{
+    return Json::array({ frame.since, encodeOptional(frame.era) });
+}
 
 Json encodeItems(const std::vector<StoreItem>& items)
 {
@@ -192,15 +198,15 @@
 Json encode(const StoreChangesResponse& frame)
 {
     const StoreUpdate& update = frame.update;
-    return Json::array(
-        { update.revision, encodeItems(update.items), update.since, encodeOtherKeys(update), update.era });
+    return Json::array({ update.revision, encodeItems(update.items), update.since, encodeOtherKeys(update),
+        encodeOptional(update.era) });
 }
 
 Json encode(const StoreChangesPush& frame)
 {
     const StoreUpdate& update = frame.update;
-    return Json::array(
-        { update.since, update.revision, encodeItems(update.items), encodeOtherKeys(update), update.era });
+    return Json::array({ update.since, update.revision, encodeItems(update.items), encodeOtherKeys(update),
+        encodeOptional(update.era) });
 }
 
 Json encode(const TokenRequest& frame)
@@ -221,10 +227,11 @@
     return hello;
 }
 
-/// Nodes of the version before name no era, like stores without one.
-std::uint64_t decodeEra(const Json& json, std::size_t index)
+std::optional<std::uint64_t> decodeEra(const Json& json, std::size_t index)
 {
-    return json.size() > index ? json.at(index).get<std::uint64_t>() : 0;
+    if (json.size() <= index || json.at(index).is_null())
+        return std::nullopt;
+    return json.at(index).get<std::uint64_t>();
 }
 
 PeerFrame decodeHeartbeat(const Json& json)
--- a/src/protocol/PeerFrame.h
+++ b/src/protocol/PeerFrame.h
@@ -39,7 +39,7 @@
     std::uint64_t storeRevision { 0 }; ///< see StoreMirror::position
     bool reachesStore { true };
     std::optional<double> uptime; ///< of the sender's process, in seconds; optional on the wire
-    std::uint64_t storeEra { 0 }; ///< of the revision; optional on the wire
+    std::optional<std::uint64_t> storeEra; ///< of the revision; see StoreUpdate::era
 
     auto operator<=>(const LinkHeartbeat&) const = default;
 };
@@ -127,7 +127,7 @@
 /// Requests the items of the store that changed after a revision.
 struct StoreChangesRequest {
     std::uint64_t since { 0 };
-    std::uint64_t era { 0 }; ///< of the revision; optional on the wire
+    std::optional<std::uint64_t> era; ///< of the revision; see StoreUpdate::era
 
     auto operator<=>(const StoreChangesRequest&) const = default;
 };
--- a/src/state/StoreUpdate.h
+++ b/src/state/StoreUpdate.h
@@ -20,7 +20,9 @@
     /// The keys of the other items that exist at `revision`. Set if removals after `since` may be missing in
     /// `items`: an item that is in neither does not exist.
     std::optional<std::vector<std::string>> otherKeys;
-    std::uint64_t era { 0 }; ///< of all revisions here; see StorePosition
+    /// Of all revisions here, see StorePosition. Nodes of the version before name none: then it is the
+    /// receiver's.
+    std::optional<std::uint64_t> era;
 
     auto operator<=>(const StoreUpdate&) const = default;
 };
--- a/src/transport/PeerLinks.cpp
+++ b/src/transport/PeerLinks.cpp
@@ -300,7 +300,7 @@
                 [&](HopCancel& cancel) { events.onCancel(origin, cancel.number); },
                 [&](HopResume& resume) { events.onResume(origin, resume.numbers); },
                 [&](StoreChangesRequest& request) {
-                    link->stream->write(encodeFrame(events.storeChanges({ request.era, request.since })));
+                    link->stream->write(encodeFrame(events.storeChanges(request)));
                 },
                 [&](StoreChangesPush& push) { events.onStoreChangesPush(origin.vm, push); },
                 [&](TokenRequest& request) { link->stream->write(encodeFrame(events.grantTokens(request))); },
--- a/src/transport/PeerLinks.h
+++ b/src/transport/PeerLinks.h
@@ -47,7 +47,7 @@
     /// The link from an origin has ended. `processEnded`: a new process of the same VM has connected.
     virtual void onOriginLost(const HopOrigin&, bool processEnded) = 0;
     virtual void onStoreChangesPush(const VmId&, const StoreChangesPush&) = 0;
-    virtual StoreChangesResponse storeChanges(const StorePosition& since) const = 0;
+    virtual StoreChangesResponse storeChanges(const StoreChangesRequest&) const = 0;
     virtual TokenResponse grantTokens(const TokenRequest&) = 0;
 };
 
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -320,7 +320,8 @@
         const Instant now = monotonicNow();
         m_state.recordLoadReport(vm, heartbeat.load, now);
         m_storeReachability.report(vm, heartbeat.reachesStore, now);
-        m_feed.onPeerPosition(vm, { heartbeat.storeEra, heartbeat.storeRevision }, now);
+        m_feed.onPeerPosition(
+            vm, { heartbeat.storeEra.value_or(m_mirror.era()), heartbeat.storeRevision }, now);
     }
 
     void onLinkUp(const VmId& vm, bool sameProcess) override { m_entry.onLinkUp(vm, sameProcess); }
@@ -355,9 +356,9 @@
         m_hop.originLost(origin, processEnded);
     }
 
-    StoreChangesResponse storeChanges(const StorePosition& since) const override
+    StoreChangesResponse storeChanges(const StoreChangesRequest& request) const override
     {
-        return { m_mirror.changesSince(since) };
+        return { m_mirror.changesSince({ request.era.value_or(m_mirror.era()), request.since }) };
     }
 
     TokenResponse grantTokens(const TokenRequest& request) override { return m_tokenServer.grant(request); }
--- a/src/transport/StoreFeed.cpp
+++ b/src/transport/StoreFeed.cpp
@@ -94,11 +94,12 @@
 void StoreFeed::onChanges(const StoreChangesResponse& response, Instant now)
 {
     const StoreUpdate& update = response.update;
-    if (StorePosition { update.era, update.revision } <= m_mirror.position())
+    if (StorePosition { update.era.value_or(m_mirror.era()), update.revision } <= m_mirror.position())
         return;
     m_state.log.state("store changes from a peer", now, [&] {
-        return nlohmann::json { { "revision", update.revision }, { "era", update.era },
-            { "had", m_mirror.revision() }, { "since", update.since }, { "items", update.items.size() },
+        return nlohmann::json { { "revision", update.revision },
+            { "era", update.era.value_or(m_mirror.era()) }, { "had", m_mirror.revision() },
+            { "since", update.since }, { "items", update.items.size() },
             { "removalsMissing", update.otherKeys.has_value() } };
     });
     m_relay.receiveResponse(response);
@@ -116,7 +117,8 @@
         m_links.send(vm, *request);
     m_state.log.state("store changes pushed", now, [&] {
         return nlohmann::json { { "from", vm.text }, { "revision", push.update.revision },
-            { "era", push.update.era }, { "had", had }, { "items", push.update.items.size() } };
+            { "era", push.update.era.value_or(m_mirror.era()) }, { "had", had },
+            { "items", push.update.items.size() } };
     });
 }
 
--- a/test/correctness/LinksRejectUnboundedFrames.cpp
+++ b/test/correctness/LinksRejectUnboundedFrames.cpp
@@ -29,7 +29,7 @@
     void onResume(const HopOrigin&, const std::vector<std::uint64_t>&) override { }
     void onOriginLost(const HopOrigin&, bool) override { ++lostOrigins; }
     void onStoreChangesPush(const VmId&, const StoreChangesPush&) override { }
-    StoreChangesResponse storeChanges(const StorePosition&) const override { return {}; }
+    StoreChangesResponse storeChanges(const StoreChangesRequest&) const override { return {}; }
     TokenResponse grantTokens(const TokenRequest&) override { return {}; }
 
     int heartbeats { 0 };
--- a/test/correctness/RestoredStoresAreListedAgain.cpp
+++ b/test/correctness/RestoredStoresAreListedAgain.cpp
@@ -98,6 +98,15 @@
     CHECK(late.changes.back() == StoreItem { "a", 4, "old" });
 }
 
+TEST_CASE("during an update nodes of the version before, which name no era, still pass changes on")
+{
+    MirrorFixture fixture;
+    fixture.mirror.applyListing("", { { "a", 8, "1" } }, { 1, 9 });
+    CHECK(fixture.mirror.applyUpdate({ 9, 10, { { "a", 10, "2" } }, std::nullopt, std::nullopt }));
+    CHECK(fixture.changes.back() == StoreItem { "a", 10, "2" });
+    CHECK(fixture.mirror.position() == StorePosition { 1, 10 });
+}
+
 TEST_CASE("a part of a new era is not taken for all of it")
 {
     MirrorFixture fixture;
--- a/test/property/StoreChangesReachAllNodes.cpp
+++ b/test/property/StoreChangesReachAllNodes.cpp
@@ -149,7 +149,7 @@
                 now += 300ms; // no push arrives meanwhile
                 if (const auto request = node.relay.compareWithPeer(other.mirror.position(), now))
                     node.relay.receiveResponse(
-                        { other.mirror.changesSince({ request->era, request->since }) });
+                        { other.mirror.changesSince({ *request->era, request->since }) });
                 if (step % 11 == 0)
                     store.historySince = store.revision();
                 break;
@@ -176,7 +176,7 @@
             for (const auto& each : nodes) {
                 if (const auto request = each->relay.compareWithPeer(nodes[0]->mirror.position(), now))
                     each->relay.receiveResponse(
-                        { nodes[0]->mirror.changesSince({ request->era, request->since }) });
+                        { nodes[0]->mirror.changesSince({ *request->era, request->since }) });
             }
         }
         for (const auto& each : nodes) {
