Soak: watches without an answer, and reads of a route that only the newest configuration has

The fake store answers a watch after its wait, or, in a new fault, never, with its connection open. After the faults reads go to a route of the newest configuration, so that a node without it is found.

--- a/test/soak/SoakFakes.cpp
+++ b/test/soak/SoakFakes.cpp
@@ -1,6 +1,7 @@
 // The fake store and the fake upstreams of the soak.
 #include "SoakFakes.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
@@ -78,10 +79,11 @@
 }
 
 FakeStore::FakeStore(boost::asio::io_context& io)
-    : m_server(
-        io, "127.0.0.1:0", [this](const HttpRequest& request, FakeHttpServer::ResponseCallback respond) {
-            handle(request, std::move(respond));
-        })
+    : m_io(io)
+    , m_server(
+          io, "127.0.0.1:0", [this](const HttpRequest& request, FakeHttpServer::ResponseCallback respond) {
+              handle(request, std::move(respond));
+          })
 {
 }
 
@@ -116,9 +118,26 @@
         return respond(response(404, "")); // nodes read no single item, they only probe the store
     const auto at = request.head.target.find("&after=");
     const std::uint64_t after = std::stoull(request.head.target.substr(at + 7));
+    if (after > m_revision)
+        return respond(response(410, "{}"));
     if (after < m_revision)
         return respond(response(200, changesAfter(after)));
-    m_watches.push_back({ after, std::move(respond) });
+    const auto waitAt = request.head.target.find("&wait_ms=");
+    const std::chrono::milliseconds wait(std::stoull(request.head.target.substr(waitAt + 9)));
+    const std::uint64_t number = ++m_nextWatch;
+    m_watches.push_back({ number, after, std::move(respond) });
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, wait);
+    timer->async_wait([this, timer, number](const boost::system::error_code&) { endWatch(number); });
+}
+
+void FakeStore::endWatch(std::uint64_t number)
+{
+    const auto found = std::ranges::find(m_watches, number, &Watch::number);
+    if (found == m_watches.end())
+        return;
+    const Watch watch = *found;
+    m_watches.erase(found);
+    watch.respond(response(200, changesAfter(watch.after)));
 }
 
 std::string FakeStore::listing() const
--- a/test/soak/SoakFakes.h
+++ b/test/soak/SoakFakes.h
@@ -49,6 +49,8 @@
     void remove(const std::string& key);
     /// While down it responds with 503. Going down closes all connections, those of watches included.
     void setDown(bool down);
+    /// The pending watches are never answered; their connections stay open.
+    void silenceWatches() { m_watches.clear(); }
 
 private:
     struct Item {
@@ -57,6 +59,7 @@
         bool removed;
     };
     struct Watch {
+        std::uint64_t number;
         std::uint64_t after;
         FakeHttpServer::ResponseCallback respond;
     };
@@ -65,9 +68,12 @@
     std::string listing() const;
     std::string changesAfter(std::uint64_t) const;
     void notifyWatches();
+    void endWatch(std::uint64_t number);
 
+    boost::asio::io_context& m_io;
     std::map<std::string, Item> m_items;
     std::vector<Watch> m_watches;
+    std::uint64_t m_nextWatch { 0 };
     std::uint64_t m_revision { 1 };
     bool m_down { false };
     FakeHttpServer m_server;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -1,13 +1,14 @@
 // A soak of real sidecar processes on loopback under random faults that a seed determines. The processes are
-// killed, paused, stopped, restarted and told to reload; the store goes down and changes its configuration;
-// upstreams close connections. Faults follow each other or overlap. The run fails unless all of this holds:
+// killed, paused, stopped, restarted and told to reload; the store goes down, leaves watches unanswered and
+// changes its configuration; upstreams close connections. Faults follow each other or overlap. The run fails
+// unless all of this holds:
 // - a success has the sealed and complete response of an upstream that ran the request
 // - a non-idempotent request runs at most once, and not at all when its refusal says so
 // - a valid request is not refused with 401 or 404
 // - no API key reaches an upstream, and the upstream sees the caller's team and service
 // - an upstream that names a limit gets no more than 1.5 times that, plus 5, in any 4 s from 3 s after
 // - an upstream that says it is leaving gets no requests after the drain time, unless its node was disturbed
-// - reads are served again after the faults
+// - reads are served again after the faults, on a route that the newest configuration has added
 #include "SoakFakes.h"
 #include "process/ChildProcess.h"
 #include "transport/Log.h"
@@ -106,6 +107,12 @@
     }
 
     void putConfig()
+    {
+        ++m_version;
+        writeConfig();
+    }
+
+    void writeConfig()
     {
         const auto route = [](const char* kind, const char* prefix) {
             return nlohmann::json { { "host", "example" }, { "path_prefix", prefix }, { "route_kind", kind },
@@ -113,21 +120,31 @@
                 { "service", "registry" }, { "max_attempts", 2 } };
         };
         char version[16];
-        std::snprintf(version, sizeof version, "%08x", ++m_version);
+        std::snprintf(version, sizeof version, "%08x", m_version);
         m_store.put("op/config",
             nlohmann::json { { "version", version },
                 { "routes",
-                    { { "read", route("idempotent", "/r/") }, { "order", route("non_idempotent", "/o/") } } },
+                    { { "read", route("idempotent", "/r/") }, { "order", route("non_idempotent", "/o/") },
+                        { "newest", route("idempotent", newestPath().c_str()) } } },
                 { "tenants", { { "team", { { "api_keys", { "k" } } } } } } }
                 .dump());
     }
 
+    std::string newestPath() const { return "/v" + std::to_string(m_version) + '/'; }
+
+    /// Writes the record of a new run of the upstream.
     void putUpstreamRecord(std::uint64_t node)
+    {
+        m_starts[node] = ++m_lastStart;
+        writeUpstreamRecord(node);
+    }
+
+    void writeUpstreamRecord(std::uint64_t node)
     {
         m_store.put("servers/i-" + std::to_string(node),
-            nlohmann::json { { "address", address(node, upstreamPort) }, { "born", ++m_lastStart },
+            nlohmann::json { { "address", address(node, upstreamPort) }, { "born", m_starts[node] },
                 { "info", { { "service", "registry" }, { "zone", "a" }, { "slots", 40 } } },
-                { "status", { { "state", "ready" }, { "cold_left", "0ms" } } } }
+                { "status", { { "state", "ready" }, { "cold_left", "0ms" }, { "sequence", ++m_sequence } } } }
                 .dump());
     }
 
@@ -170,10 +187,11 @@
     {
         const std::uint64_t node = m_random.below(FLAGS_nodes);
         const bool nonIdempotent = m_random.below(3) == 0;
+        const std::string path = nonIdempotent ? "/o/" : m_checking ? newestPath() : "/r/";
         const std::string id = std::to_string(m_seed) + "-" + std::to_string(m_sent.size());
         m_sent[id] = { nonIdempotent, m_checking, 0 };
-        connectStream(m_io, address(node, callerPort), 1s,
-            [this, id, nonIdempotent](const std::shared_ptr<ByteStream>& stream) {
+        connectStream(
+            m_io, address(node, callerPort), 1s, [this, id, path](const std::shared_ptr<ByteStream>& stream) {
                 if (!stream)
                     return;
                 auto parser = std::make_shared<ResponseParser>(false, 1 << 20);
@@ -187,8 +205,7 @@
                         onResponse(id, parser->take());
                     },
                     [](StreamEnd) {});
-                stream->write("GET /" + std::string(nonIdempotent ? "o" : "r")
-                    + "/x HTTP/1.1\r\nHost: example\r\nEbonystack-Attempt-Id: " + id
+                stream->write("GET " + path + "x HTTP/1.1\r\nHost: example\r\nEbonystack-Attempt-Id: " + id
                     + "\r\nEbonystack-Deadline-Ms: 1400\r\nAuthorization: Bearer k\r\n\r\n");
                 after(callerTimeout, [stream] { stream->close(); });
             });
@@ -212,8 +229,8 @@
         if (m_faultsOver)
             return;
         static constexpr std::array faults { &SoakRun::killNode, &SoakRun::pauseNode, &SoakRun::stopNode,
-            &SoakRun::storeOutage, &SoakRun::dropUpstreamConnections, &SoakRun::changeConfig,
-            &SoakRun::reloadNode, &SoakRun::limitUpstream, &SoakRun::leaveUpstream };
+            &SoakRun::storeOutage, &SoakRun::silenceWatches, &SoakRun::dropUpstreamConnections,
+            &SoakRun::changeConfig, &SoakRun::reloadNode, &SoakRun::limitUpstream, &SoakRun::leaveUpstream };
         (this->*faults[m_random.below(faults.size())])(m_random.below(FLAGS_nodes));
         after(std::chrono::milliseconds(150 + m_random.below(900)), [this] { scheduleFault(); });
     }
@@ -255,6 +272,8 @@
         after(std::chrono::milliseconds(200 + m_random.below(2500)), [this] { m_store.setDown(false); });
     }
 
+    void silenceWatches(std::uint64_t) { m_store.silenceWatches(); }
+
     void limitUpstream(std::uint64_t node)
     {
         m_upstreams[node]->nameLimit(1 + static_cast<double>(m_random.below(12)));
@@ -281,6 +300,8 @@
     void endFaults()
     {
         m_store.setDown(false);
+        m_store.silenceWatches();
+        writeConfig();
         for (std::uint64_t node = 0; node < FLAGS_nodes; ++node) {
             startAgain(node);
             m_nodes[node]->signal(SIGCONT);
@@ -353,6 +374,8 @@
     std::map<std::string, SentRequest> m_sent;
     unsigned m_version { 0 };
     std::uint64_t m_lastStart { 0 }; // of an upstream, see UpstreamRecord::startedAt
+    std::map<std::uint64_t, std::uint64_t> m_starts; // of the run of each node's upstream
+    std::uint64_t m_sequence { 0 }; // of the last record, see UpstreamRecord::sequence
     int m_nodeStarts { 0 };
     bool m_sending { true };
     bool m_checking { false };
