--- a/test/soak/SoakFakes.cpp
+++ b/test/soak/SoakFakes.cpp
@@ -90,15 +90,38 @@
 void FakeStore::put(const std::string& key, const std::string& value)
 {
     m_items[key] = { value, ++m_revision, false };
-    notifyWatches();
+    onWritten();
 }
 
 void FakeStore::remove(const std::string& key)
 {
     m_items[key] = { "", ++m_revision, true };
+    onWritten();
+}
+
+void FakeStore::onWritten()
+{
+    m_copies.push_back({ std::chrono::steady_clock::now(), m_items, m_revision });
     notifyWatches();
 }
 
+void FakeStore::restore(std::chrono::steady_clock::duration age)
+{
+    const auto time = std::chrono::steady_clock::now() - age;
+    while (m_copies.size() > 1 && m_copies.back().at > time)
+        m_copies.pop_back();
+    m_items = m_copies.back().items;
+    m_revision = m_copies.back().revision;
+    ++m_era;
+    m_watches.clear();
+    m_server.closeConnections();
+}
+
+std::string FakeStore::response(int status, const std::string& body) const
+{
+    return Soak::response(status, body, "Store-Era: " + std::to_string(m_era) + "\r\n");
+}
+
 void FakeStore::setDown(bool down)
 {
     m_down = down;
--- a/test/soak/SoakFakes.h
+++ b/test/soak/SoakFakes.h
@@ -49,6 +49,8 @@
     void remove(const std::string& key);
     /// While down it responds with 503. Going down closes all connections, those of watches included.
     void setDown(bool down);
+    /// Comes back from a copy of this age: what was written since is lost, and a new era begins.
+    void restore(std::chrono::steady_clock::duration age);
     /// The pending watches are never answered; their connections stay open.
     void silenceWatches() { m_watches.clear(); }
 
@@ -58,6 +60,12 @@
         std::uint64_t revision;
         bool removed;
     };
+    /// The items after a write.
+    struct Copy {
+        std::chrono::steady_clock::time_point at;
+        std::map<std::string, Item> items;
+        std::uint64_t revision;
+    };
     struct Watch {
         std::uint64_t number;
         std::uint64_t after;
@@ -68,13 +76,17 @@
     std::string listing() const;
     std::string changesAfter(std::uint64_t) const;
     void notifyWatches();
+    void onWritten();
     void endWatch(std::uint64_t number);
+    std::string response(int status, const std::string& body) const;
 
     boost::asio::io_context& m_io;
     std::map<std::string, Item> m_items;
+    std::vector<Copy> m_copies; // one for each write of the run
     std::vector<Watch> m_watches;
     std::uint64_t m_nextWatch { 0 };
     std::uint64_t m_revision { 1 };
+    std::uint64_t m_era { 1 };
     bool m_down { false };
     FakeHttpServer m_server;
 };
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -1,7 +1,7 @@
 // A soak of real sidecar processes on loopback under random faults that a seed determines. The processes are
-// killed, paused, stopped, restarted and told to reload; the store goes down, leaves watches unanswered and
-// changes its configuration; upstreams close connections. Faults follow each other or overlap. The run fails
-// unless all of this holds:
+// killed, paused, stopped, restarted and told to reload; the store goes down, comes back from an old copy,
+// leaves watches unanswered and changes its configuration;
+// upstreams close connections. Faults follow each other or overlap. The run fails unless all of this holds:
 // - a success has the sealed and complete response of an upstream that ran the request
 // - a non-idempotent request runs at most once, and not at all when its refusal says so
 // - a valid request is not refused with 401 or 404
@@ -229,8 +229,9 @@
         if (m_faultsOver)
             return;
         static constexpr std::array faults { &SoakRun::killNode, &SoakRun::pauseNode, &SoakRun::stopNode,
-            &SoakRun::storeOutage, &SoakRun::silenceWatches, &SoakRun::dropUpstreamConnections,
-            &SoakRun::changeConfig, &SoakRun::reloadNode, &SoakRun::limitUpstream, &SoakRun::leaveUpstream };
+            &SoakRun::storeOutage, &SoakRun::restoreStore, &SoakRun::silenceWatches,
+            &SoakRun::dropUpstreamConnections, &SoakRun::changeConfig, &SoakRun::reloadNode,
+            &SoakRun::limitUpstream, &SoakRun::leaveUpstream };
         (this->*faults[m_random.below(faults.size())])(m_random.below(FLAGS_nodes));
         after(std::chrono::milliseconds(150 + m_random.below(900)), [this] { scheduleFault(); });
     }
@@ -272,6 +273,24 @@
         after(std::chrono::milliseconds(200 + m_random.below(2500)), [this] { m_store.setDown(false); });
     }
 
+    /// The store is away for a moment and comes back from a copy. What is lost is written again.
+    void restoreStore(std::uint64_t)
+    {
+        m_store.setDown(true);
+        after(std::chrono::milliseconds(200 + m_random.below(1500)), [this] {
+            m_store.restore(std::chrono::milliseconds(500 + m_random.below(6000)));
+            m_store.setDown(false);
+            after(std::chrono::milliseconds(200 + m_random.below(1800)), [this] { writeAgain(); });
+        });
+    }
+
+    void writeAgain()
+    {
+        writeConfig();
+        for (std::uint64_t node = 0; node < FLAGS_nodes; ++node)
+            writeUpstreamRecord(node);
+    }
+
     void silenceWatches(std::uint64_t) { m_store.silenceWatches(); }
 
     void limitUpstream(std::uint64_t node)
