--- a/apps/ebonyctl/ReportCommand.cpp
+++ b/apps/ebonyctl/ReportCommand.cpp
@@ -48,7 +48,7 @@
 {
     constexpr auto events = std::to_array<std::string_view>({ "started", "stopped", "leaving",
         "settings reloaded", "settings not usable", "store lost", "store regained", "store history lost",
-        "link down", "process stood still", "configuration in force", "configuration refused" });
+        "store restored", "link down", "process stood still", "configuration in force", "configuration refused" });
     return std::ranges::find(events, event) != events.end();
 }
 
