--- a/apps/ebonyctl/ReportCommand.cpp
+++ b/apps/ebonyctl/ReportCommand.cpp
@@ -46,9 +46,10 @@
 
 bool isChange(const std::string& event)
 {
-    constexpr auto events = std::to_array<std::string_view>({ "started", "stopped", "leaving",
-        "settings reloaded", "settings not usable", "store lost", "store regained", "store history lost",
-        "store restored", "link down", "process stood still", "configuration in force", "configuration refused" });
+    constexpr auto events
+        = std::to_array<std::string_view>({ "started", "stopped", "leaving", "settings reloaded",
+            "settings not usable", "store lost", "store regained", "store history lost", "store restored",
+            "link down", "process stood still", "configuration in force", "configuration refused" });
     return std::ranges::find(events, event) != events.end();
 }
 
--- a/test/correctness/RestoredStoresAreListedAgain.cpp
+++ b/test/correctness/RestoredStoresAreListedAgain.cpp
@@ -22,7 +22,7 @@
         [this](const std::string& key) { losses.push_back(key); } };
 };
 
-ScriptedResponse respond(std::string era, const std::string& body, int status = 200)
+ScriptedResponse respond(const std::string& era, const std::string& body, int status = 200)
 {
     return { "HTTP/1.1 " + std::to_string(status) + " X\r\nStore-Era: " + era
         + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body };
@@ -37,7 +37,7 @@
 
 /// A reader whose store is listed once in era 1; then `respondLater` says what it responds.
 struct RestoredStoreFixture {
-    explicit RestoredStoreFixture(ScriptedUpstream::Script respondLater)
+    explicit RestoredStoreFixture(const ScriptedUpstream::Script& respondLater)
         : store(io, [this, respondLater](const HttpRequest& request) {
             calls.push_back(request.head.target);
             return calls.size() == 1 ? respond("1", originalPage) : respondLater(request);
