--- a/src/coordination/StoreRoles.cpp
+++ b/src/coordination/StoreRoles.cpp
@@ -17,9 +17,6 @@
 constexpr Duration readerIntervalPerDataCentre = 150ms;
 constexpr Duration minReaderInterval = 250ms;
 constexpr Duration maxReaderInterval = 1s;
-/// With the time in which a silent call is noticed, shorter than the shortest outage in which records lapse:
-/// a silent connection to a store that responds to others is not taken for one.
-constexpr Duration readerWatchWait = 1400ms;
 /// A standby's interval and wait in the reader's. It is woken by few of the changes that the reader has
 /// passed on by then.
 constexpr int standbyFactor = 3;
--- a/src/coordination/StoreRoles.h
+++ b/src/coordination/StoreRoles.h
@@ -44,14 +44,19 @@
     Probe, ///< the changes come from peers
 };
 
+/// How long a reader's watch waits. With the time in which a silent call is noticed, shorter than the
+/// shortest outage in which records lapse: a silent connection to a store that responds to others is not
+/// taken for one.
+constexpr Duration readerWatchWait = std::chrono::milliseconds(1400);
+
 /// How a node calls the store.
 struct StoreCallPlan {
     StoreMode mode { StoreMode::Watch };
-    Duration interval { std::chrono::milliseconds(
-        250) }; ///< between two probes, or after a watch with changes
+    /// Between two probes, or after a watch with changes.
+    Duration interval { std::chrono::milliseconds(250) };
     /// How long a watch waits for a change. A connection can go silent without an end, so this bounds how
     /// long a node can miss changes without noticing.
-    Duration watchWait { std::chrono::milliseconds(1400) };
+    Duration watchWait { readerWatchWait };
 
     auto operator<=>(const StoreCallPlan&) const = default;
 };
--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -327,7 +327,7 @@
         connection->parser.reset();
     }
 
-    /// `isSilent`: there was no response, and none may have been possible since the last one.
+    /// `isSilent`: there was no response; an outage may have begun right after the last one.
     void fail(const std::string& reason, bool isSilent = false)
     {
         closeStream();
@@ -381,9 +381,9 @@
     StoreCallTimeout callTimeout;
     bool hasListed { false }; // all keys, at least once
     bool mustListAgain { false }; // the history after the known revision is lost
-    std::uint64_t seenEra {
-        0
-    }; // the latest that the store has named; while the mirror's is earlier, it lists
+    // The latest era that the store has named. While the mirror's is earlier, the store is to be listed
+    // again.
+    std::uint64_t seenEra { 0 };
     Instant newEraSeenAt;
     std::function<void()> onChanges;
     std::optional<Instant> failingSince; // set while calls fail
