--- a/test/correctness/WorthBoundIsSolved.cpp
+++ b/test/correctness/WorthBoundIsSolved.cpp
@@ -37,3 +37,21 @@
     REQUIRE(scenario);
     CHECK(worthBound(*scenario, 1) == doctest::Approx(0.5)); // 10 slots, 200 ms each: 50 a second
 }
+
+TEST_CASE("the operator's limit on retries bounds the calls that rejecting upstreams accept")
+{
+    const auto scenario = parseScenario("service a vms 1 slots 100 speeds 1\n"
+                                        "service b vms 1 slots 100 speeds 1\n"
+                                        "kind root at a rate 100 work 50ms\n"
+                                        "kind leaf at b work 5ms\n"
+                                        "call root leaf times 4\n"
+                                        "reject b share 1 factor 0.5 from 5s until 25s\n"
+                                        "load 1 until 30s\n");
+    REQUIRE(scenario);
+    CHECK(rejectionBoundsAt(*scenario, std::chrono::seconds(4)).empty());
+    const RejectionBounds bounds = rejectionBoundsAt(*scenario, std::chrono::seconds(5));
+    REQUIRE(bounds.size() == 1);
+    // 0.2 of 400 requests a second, and 50 in 10 s; a tree needs four.
+    CHECK(bounds.begin()->second.repeatsPerSecond == doctest::Approx(85));
+    CHECK(worthBound(*scenario, 1, bounds) == doctest::Approx(85.0 / 400));
+}
--- a/tools/lab/SimulationRun.cpp
+++ b/tools/lab/SimulationRun.cpp
@@ -5,6 +5,7 @@
 #include "lab/WorthBound.h"
 
 #include <algorithm>
+#include <set>
 #include <sstream>
 
 namespace Ebonystack {
@@ -74,17 +75,32 @@
     return toSeconds(scenario.length() - from);
 }
 
-/// The mean of worthBound over all phases, weighted by the number of requests in each.
+/// The times at which the load or a fault of rejecting upstreams changes, in order.
+std::set<Duration> changeTimes(const LoadScenario& scenario)
+{
+    std::set<Duration> times { Duration::zero() };
+    for (const LoadPhase& phase : scenario.phases)
+        times.insert(phase.until);
+    for (const ScenarioFault& fault : scenario.faults) {
+        if (fault.kind != ScenarioFaultKind::Reject)
+            continue;
+        times.insert(std::min(fault.from, scenario.length()));
+        times.insert(std::min(fault.until.value_or(scenario.length()), scenario.length()));
+    }
+    return times;
+}
+
+/// The mean of worthBound over the whole run, weighted by the number of requests.
 double scenarioWorthBound(const LoadScenario& scenario)
 {
     double requested = 0;
     double bound = 0;
-    Duration from = Duration::zero();
-    for (const LoadPhase& phase : scenario.phases) {
-        const double weight = phase.factor * toSeconds(phase.until - from);
+    const std::set<Duration> times = changeTimes(scenario);
+    for (auto from = times.begin(); std::next(from) != times.end(); ++from) {
+        const double load = scenario.loadAt(*from);
+        const double weight = load * toSeconds(*std::next(from) - *from);
         requested += weight;
-        bound += weight * worthBound(scenario, phase.factor);
-        from = phase.until;
+        bound += weight * worthBound(scenario, load, rejectionBoundsAt(scenario, *from));
     }
     return requested > 0 ? bound / requested : 1;
 }
--- a/tools/lab/WorthBound.cpp
+++ b/tools/lab/WorthBound.cpp
@@ -1,9 +1,10 @@
 // The simplex method on a dense table, and the coefficients of the linear program.
 #include "lab/WorthBound.h"
 
+#include "coordination/RetryBudget.h"
+
 #include <algorithm>
 #include <limits>
-#include <map>
 
 namespace Ebonystack {
 namespace {
@@ -32,8 +33,51 @@
     return serviceTime;
 }
 
+/// Adds the nested calls of `times` requests at each service.
+void addCalls(
+    const LoadScenario& scenario, const RequestKind& kind, double times, std::map<ServiceName, double>& calls)
+{
+    for (const ScenarioCall& call : kind.calls) {
+        const RequestKind& callee = *scenario.findKind(call.callee);
+        calls[callee.service] += times * call.times;
+        addCalls(scenario, callee, times * call.times, calls);
+    }
+}
+
+/// The highest rate of requests for a service, nested calls included, if all were admitted.
+double maxRequestsPerSecond(const LoadScenario& scenario, const ServiceName& service)
+{
+    double requests = 0;
+    for (const RequestKind& kind : scenario.kinds) {
+        std::map<ServiceName, double> calls;
+        addCalls(scenario, kind, kind.requestsPerSecond, calls);
+        requests += calls[service] + (kind.service == service ? kind.requestsPerSecond : 0);
+    }
+    const auto peak = std::ranges::max_element(scenario.phases, {}, &LoadPhase::factor);
+    return requests * peak->factor;
+}
+
 } // namespace
 
+RejectionBounds rejectionBoundsAt(const LoadScenario& scenario, Duration time)
+{
+    const RetryLimits limits;
+    RejectionBounds bounds;
+    for (const ScenarioFault& fault : scenario.faults) {
+        const Duration until = fault.until.value_or(scenario.length());
+        const bool applies = fault.kind == ScenarioFaultKind::Reject && fault.share >= 1 && time >= fault.from
+            && time < until;
+        if (!applies)
+            continue;
+        const double allowedInWindow
+            = limits.ratio * maxRequestsPerSecond(scenario, fault.service) * toSeconds(limits.window)
+            + limits.extraRetries;
+        bounds[fault.service]
+            = { fault.factor, allowedInWindow / toSeconds(std::min(limits.window, until - fault.from)) };
+    }
+    return bounds;
+}
+
 std::vector<double> solveLinearProgram(
     const std::vector<double>& gains, std::vector<std::vector<double>> rows, std::vector<double> bounds)
 {
@@ -86,7 +130,7 @@
     return solution;
 }
 
-double worthBound(const LoadScenario& scenario, double load)
+double worthBound(const LoadScenario& scenario, double load, const RejectionBounds& rejections)
 {
     std::vector<const RequestKind*> kinds;
     std::vector<double> gains;
@@ -112,6 +156,16 @@
         rows.push_back(std::move(row));
         bounds.push_back(static_cast<double>(service.vms) * service.slots);
     }
+    for (const auto& [service, rejection] : rejections) {
+        std::vector<double> row;
+        for (const RequestKind* kind : kinds) {
+            std::map<ServiceName, double> calls;
+            addCalls(scenario, *kind, 1, calls);
+            row.push_back(calls[service] * rejection.rejectedShare / (1 - rejection.rejectedShare));
+        }
+        rows.push_back(std::move(row));
+        bounds.push_back(rejection.repeatsPerSecond);
+    }
     const std::vector<double> rates = solveLinearProgram(gains, rows, bounds);
     double delivered = 0;
     double requested = 0;
