--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -123,10 +123,11 @@
     bool takeRepeat(Job& job, Instant now)
     {
         const RouteId& route = job.request.route;
-        if (!state.retryBudget.takeRepeat(route, state.costs.maxCallsPerRun(route, 1), now))
-            return false;
-        job.attemptedAt = now;
-        return true;
+        const bool taken = state.retryBudget.takeRepeat(route, state.costs.maxCallsPerRun(route, 1), now);
+        ++state.counters.repeatDecisions[{ route.text, taken ? "sent" : "denied" }];
+        if (taken)
+            job.attemptedAt = now;
+        return taken;
     }
 
     /// Returns the repeat of a job that ends before it was sent to the upstream.
--- a/src/transport/SidecarMetrics.cpp
+++ b/src/transport/SidecarMetrics.cpp
@@ -43,6 +43,11 @@
     addCounter(arrivals, { { "attempt", "first" } }, counters.firstArrivals);
     addCounter(arrivals, { { "attempt", "repeat" } }, counters.repeatArrivals);
     families.push_back(std::move(arrivals));
+    MetricFamily decisions = makeMetricFamily("ebony_repeat_decisions_total",
+        "Repeats that the retry budget of this upstream sent or denied.", MetricType::Counter);
+    for (const auto& [key, count] : counters.repeatDecisions)
+        addCounter(decisions, { { "route", key.first }, { "decision", key.second } }, count);
+    families.push_back(std::move(decisions));
     families.push_back(makeCounter("ebony_upstream_arrivals_of_repeated_runs_total",
         "Expected number of first attempts among them that are calls of repeated runs.",
         static_cast<std::uint64_t>(counters.arrivalsOfRepeatedRuns)));
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -32,6 +32,8 @@
     std::map<std::string, std::uint64_t> hopOutcomes; ///< by "answered" or the reason without a response
     std::map<std::string, std::uint64_t> refusals; ///< of callers, by result code
     std::uint64_t retries { 0 };
+    std::map<std::pair<std::string, std::string>, std::uint64_t>
+        repeatDecisions; ///< of the retry budget, by route and "sent" or "denied"
     std::uint64_t firstArrivals { 0 }; ///< requests sent to the upstream that were not sent to one before
     std::uint64_t repeatArrivals { 0 }; ///< requests sent to the upstream again
     double arrivalsOfRepeatedRuns { 0 }; ///< expected number of first arrivals that repeated runs caused
