Retry no failure that comes from a refused nested call

Callers saw: while upstreams of a deep service reject calls, trees fail at every level. A call that has been refused below, because its upstreams rejected it or the retry budget was spent, ends as a server error of each service above, and each of these levels ran its whole tree again, to meet the same refusal.

A repeat at registry makes up to ten calls of pressroom, which its budget counts as well.

A nested call names no parent, but it expires at its parent's deadline. UpstreamRuns finds the parent by it; a refused call marks it, and its node reports the failure with hasRefusedCall, which entry nodes neither retry nor forget on the way up. The refusing level has spent the repeats that there are, where they cost least.

--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -168,7 +168,7 @@
 {
     return Json::array({ frame.number, frame.outcome, frame.reason, frame.reachedUpstream, frame.status,
         encodeFields(frame.fields), encodeBytes(frame.body), encodeLoad(frame.load), encodeCosts(frame.costs),
-        frame.gateWait.count(), encodeCosts(frame.arrivals) });
+        frame.gateWait.count(), encodeCosts(frame.arrivals), frame.hasRefusedCall });
 }
 
 Json encode(const HopCancel& frame) { return Json::array({ frame.number }); }
@@ -260,6 +260,8 @@
         {} };
     if (json.size() > 10)
         response.arrivals = decodeCosts(json.at(10));
+    if (json.size() > 11)
+        response.hasRefusedCall = json.at(11);
     return response;
 }
 
--- a/src/protocol/PeerFrame.h
+++ b/src/protocol/PeerFrame.h
@@ -105,6 +105,9 @@
     CostVector costs; ///< costs of the request's route
     Duration gateWait { 0 }; ///< time from arrival at the gate to the start or the rejection
     CostVector arrivals; ///< at each service, of a run of the request's route; optional on the wire
+    /// A server error because a nested call was refused: another run would meet the same refusal. Optional on
+    /// the wire.
+    bool hasRefusedCall { false };
 
     auto operator<=>(const HopResponse&) const = default;
 };
--- a/src/transport/EntryCall.h
+++ b/src/transport/EntryCall.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/TimerService.h"
+#include "coordination/UpstreamRuns.h"
 #include "protocol/PeerFrame.h"
 #include "state/ServingConfig.h"
 #include "transport/HttpCodec.h"
@@ -37,6 +38,8 @@
     bool mayHaveRun { false };
     bool retried { false };
     double repeatShare { 0 }; ///< the probability that a repeated run has made this nested call
+    RunId parent { 0 }; ///< the run at the upstream beside this node that has made this nested call; 0: unknown
+    bool wasRefused { false }; ///< a node refused to run it, or to run a nested call below it
     std::uint64_t hopNumber { 0 }; ///< of the hop request without a response; 0: none
     VmId hopVm; ///< of the last dispatch
     std::optional<HopResponse> lastFailure; ///< a server error, delivered if no retry succeeds
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -175,6 +175,8 @@
         const Duration timeout
             = route.timeout > Duration::zero() ? route.timeout + timeoutSlack : maxCallTime;
         const auto callerRemainingTime = readDeadline(call.request.head.fields, names().deadline);
+        if (callerRemainingTime && call.isNested)
+            call.parent = state.runs.findParent(call.receivedAt + *callerRemainingTime).value_or(0);
         call.deadline = call.receivedAt + std::min(timeout, callerRemainingTime.value_or(timeout));
         if (callerRemainingTime && !call.isNested)
             call.isCallerRetry
@@ -413,6 +415,7 @@
             return onNotRun(call, vm, response);
         case HopOutcome::OutcomeUnknown:
             call->mayHaveRun = true;
+            call->wasRefused = false;
             return onOutcomeUnknown(call, vm, describe(response.reason));
         }
     }
@@ -431,7 +434,8 @@
         const bool failed = response.status >= statusFirstServerError;
         if (failed) {
             call->mayHaveRun = true;
-            if (mayRetry(*call)) {
+            call->wasRefused = response.hasRefusedCall;
+            if (!call->wasRefused && mayRetry(*call)) {
                 call->lastFailure = std::move(response);
                 return retry(call, vm, "the upstream responded with a server error");
             }
@@ -442,6 +446,7 @@
     void onNotRun(const CallPtr& call, const VmId& vm, const HopResponse& response)
     {
         call->triedVms.push_back(vm);
+        call->wasRefused = true;
         const Instant now = state.now();
         const bool mayDispatchAgain = now < call->deadline && call->dispatches < maxDispatches
             && response.reason != HopReason::RetryBudgetSpent
@@ -550,6 +555,8 @@
 
     void end(const CallPtr& call, HttpResponse callerResponse)
     {
+        if (call->wasRefused && callerResponse.head.status >= statusFirstServerError)
+            state.runs.recordRefusedCall(call->parent);
         removeCall(*call);
         call->respond(std::move(callerResponse));
     }
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -50,6 +50,7 @@
         Instant deadline;
         GateTicket ticket { 0 };
         ExchangeId exchange { 0 }; // 0 while it waits at the gate
+        RunId run { 0 }; // 0 unless it runs at the upstream
         std::optional<TimerId> timeout; // set while it runs at the upstream
         bool reachedUpstream { false }; // the request was sent to the upstream
         bool resent { false }; // on another connection
@@ -165,6 +166,7 @@
                 if (self && unanswered)
                     self->onNoResponse(unanswered, at);
             });
+        job->run = state.runs.start(job->deadline);
         send(job, now);
     }
 
@@ -183,18 +185,21 @@
     /// Releases the job's slot and ends the job.
     void endAtUpstream(const JobPtr& job, HopResponse response, Instant now)
     {
-        releaseSlot(job, response.outcome != HopOutcome::NotRun, now);
+        response.hasRefusedCall = releaseSlot(job, response.outcome != HopOutcome::NotRun, now);
         finish(job, std::move(response));
     }
 
-    void releaseSlot(const JobPtr& job, bool hasRun, Instant now)
+    /// Returns whether a nested call of the job was refused.
+    bool releaseSlot(const JobPtr& job, bool hasRun, Instant now)
     {
         if (job->timeout)
             state.timers.cancel(*job->timeout);
         job->timeout.reset();
+        const bool hasRefusedCall = state.runs.end(job->run);
         const Duration serviceTime = now - job->startedAt;
         state.costs.requestEnded(job->request.route, serviceTime, hasRun, repeatShareOf(*job));
         startJobs(gate.depart(serviceTime, now), now);
+        return hasRefusedCall;
     }
 
     void startJobs(const std::vector<GateTicket>& tickets, Instant now)
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -7,6 +7,7 @@
 #include "coordination/TimerService.h"
 #include "coordination/UpstreamDirectory.h"
 #include "coordination/UpstreamNotices.h"
+#include "coordination/UpstreamRuns.h"
 #include "coordination/UpstreamSelector.h"
 #include "protocol/PlatformAdapter.h"
 #include "protocol/SidecarSettings.h"
@@ -75,6 +76,7 @@
     CallCosts costs;
     UpstreamSelector upstreamSelector;
     UpstreamNotices upstreamNotices;
+    UpstreamRuns runs;
     RetryBudget retryBudget;
     std::optional<Instant> shutdownDeadline; ///< set while the node is leaving; no request is open after it
 
