Offer a rejected request again until an upstream takes it or the retry budget is spent

The limit on attempts bounds the upstreams that may get a request; an upstream that rejects it says that it has not run it, and may take it a moment later. A request that two upstreams have rejected was given up all the same, whatever the retry budget had left. It is now offered to those upstreams again, after a pause that grows to 50 ms, so that a full upstream isn't hammered; a caller's own request only within its target latency, as a refused caller may come back. Each offer is a repeat that the budget has to allow.

--- a/src/transport/EntryCall.h
+++ b/src/transport/EntryCall.h
@@ -33,8 +33,10 @@
     Instant receivedAt;
     Instant deadline; ///< the earlier of the caller's deadline and the route's timeout
     std::vector<VmId> triedVms; ///< not selected again
-    int dispatches { 0 }; ///< hop requests sent to nodes
-    std::uint32_t upstreamAttempts { 0 }; ///< dispatches that reached or may have reached an upstream
+    std::vector<VmId> rejectingVms; ///< their upstreams rejected the request without running it
+    int dispatches { 0 }; ///< hop requests sent to nodes, without further offers to upstreams that rejected it
+    int offers { 0 }; ///< dispatches that an upstream rejected
+    std::uint32_t upstreamAttempts { 0 }; ///< upstreams that may have run it
     bool mayHaveRun { false };
     bool retried { false };
     double repeatShare { 0 }; ///< the probability that a repeated run has made this nested call
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -38,6 +38,11 @@
 /// Limit on the dispatches of one request: retries, and dispatches after a node rejected it without running
 /// it.
 constexpr int maxDispatches = 4;
+/// Limit on the offers of one request that upstreams reject.
+constexpr int maxOffers = 16;
+/// Before an upstream that rejected the request is offered it again; it grows by this with each offer.
+constexpr Duration offerPause = 10ms;
+constexpr Duration maxOfferPause = 50ms;
 /// Share of the remaining target latency that a request may wait at a gate, see maxGateWait. Values from 0.15
 /// to 0.25 yield the most worth under overload.
 constexpr double gateWaitShare = 0.2;
@@ -298,13 +303,37 @@
             std::erase_if(upstreams, isLeaving);
     }
 
+    /// Whether an upstream has received the request, so that its next arrival is a repeat.
+    static bool hasReachedUpstream(const Call& call) { return call.upstreamAttempts > 0 || call.offers > 0; }
+
+    /// Whether the operator allows an upstream that has not received the request.
+    static bool mayReachOther(const Call& call)
+    {
+        return call.upstreamAttempts + call.rejectingVms.size() < call.route->maxAttempts;
+    }
+
+    /// Selects an upstream that has not been tried. When no other one may receive the request, selects one of
+    /// those that rejected it.
+    const KnownUpstream* selectUpstream(const Call& call, Instant now)
+    {
+        auto upstreams = reachableUpstreams(call.service);
+        if (!hasReachedUpstream(call) || mayReachOther(call)) {
+            const auto* untried = state.upstreamSelector.select(upstreams, call.triedVms, now);
+            if (untried || call.rejectingVms.empty())
+                return untried;
+        }
+        std::erase_if(upstreams, [&](const KnownUpstream* upstream) {
+            return std::ranges::find(call.rejectingVms, upstream->record.vm) == call.rejectingVms.end();
+        });
+        return state.upstreamSelector.select(upstreams, {}, now);
+    }
+
     void dispatch(const CallPtr& call)
     {
         const Instant now = state.now();
         if (now >= call->deadline)
             return failCall(call, "the deadline passed before the request could be dispatched");
-        const KnownUpstream* chosen
-            = state.upstreamSelector.select(reachableUpstreams(call->service), call->triedVms, now);
+        const KnownUpstream* chosen = selectUpstream(*call, now);
         if (!chosen)
             return waitForVm(call, now);
         HopRequest request;
@@ -315,7 +344,7 @@
         request.rank = call->isNested ? nestedCallRank
                                       : call->route->priority * ranksPerRoutePriority + call->teamPriority;
         request.isRedispatch = call->dispatches > 0;
-        request.repeatShare = call->upstreamAttempts > 0 ? 1 : call->repeatShare;
+        request.repeatShare = hasReachedUpstream(*call) ? 1 : call->repeatShare;
         request.idempotent = call->route->idempotent;
         request.instance = chosen->record.instance;
         request.knownRequestLimit = state.upstreamNotices.requestLimit(request.instance);
@@ -406,7 +435,7 @@
         state.costs.updateReportedCost(call->route->id, response.costs);
         state.costs.updateReportedArrivals(call->route->id, response.arrivals);
         state.upstreamSelector.requestEnded(vm, isFailure(response), now);
-        if (response.reachedUpstream)
+        if (response.reachedUpstream && !isRejection(response))
             ++call->upstreamAttempts;
         switch (response.outcome) {
         case HopOutcome::Responded:
@@ -420,6 +449,12 @@
         }
     }
 
+    /// Whether the upstream refused the request without running it, and may take it later.
+    static bool isRejection(const HopResponse& response)
+    {
+        return response.outcome == HopOutcome::NotRun && response.reason == HopReason::UpstreamShed;
+    }
+
     /// Whether the response counts as a failure of the VM in the upstream selection.
     static bool isFailure(const HopResponse& response)
     {
@@ -448,14 +483,45 @@
         call->triedVms.push_back(vm);
         call->wasRefused = true;
         const Instant now = state.now();
-        const bool mayDispatchAgain = now < call->deadline && call->dispatches < maxDispatches
-            && response.reason != HopReason::RetryBudgetSpent
-            && (!response.reachedUpstream || call->upstreamAttempts < call->route->maxAttempts);
-        if (mayDispatchAgain)
-            return dispatch(call);
+        if (now < call->deadline && response.reason != HopReason::RetryBudgetSpent) {
+            if (isRejection(response))
+                return offerAgain(call, vm, response, now);
+            if (call->dispatches < maxDispatches && (!response.reachedUpstream || mayReachOther(*call)))
+                return dispatch(call);
+        }
+        failNotRun(call, response);
+    }
+
+    void failNotRun(const CallPtr& call, const HopResponse& response)
+    {
         failCall(call, std::string("the request did not run: ") + std::string(describe(response.reason)));
     }
 
+    /// Offers a request that an upstream rejected to another one at once, or after a pause to one that has
+    /// rejected it, which may have room by then. A caller's request is offered within its target latency:
+    /// after that the caller is better off with a refusal.
+    void offerAgain(const CallPtr& call, const VmId& vm, const HopResponse& response, Instant now)
+    {
+        ++call->offers;
+        if (std::ranges::find(call->rejectingVms, vm) == call->rejectingVms.end())
+            call->rejectingVms.push_back(vm);
+        const bool isWorthwhile = call->isNested || now < call->receivedAt + targetLatencyOf(*call->route);
+        if (call->offers >= maxOffers || !isWorthwhile)
+            return failNotRun(call, response);
+        --call->dispatches;
+        const bool hasOther = mayReachOther(*call) && hasUntriedUpstream(*call);
+        if (hasOther)
+            return dispatch(call);
+        scheduleStep(now + std::min(offerPause * call->offers, maxOfferPause), call, &Internals::dispatch);
+    }
+
+    bool hasUntriedUpstream(const Call& call) const
+    {
+        return std::ranges::any_of(reachableUpstreams(call.service), [&](const KnownUpstream* upstream) {
+            return std::ranges::find(call.triedVms, upstream->record.vm) == call.triedVms.end();
+        });
+    }
+
     void onOutcomeUnknown(const CallPtr& call, const VmId& vm, std::string_view reason)
     {
         if (mayRetry(*call))
