Ration repeats by what the call tree is worth for each

Callers saw: while pressroom rejects calls, wage posts fail as often as roll lookups allow, although one repeat earns six times as much for a wage post. All repeats came from one account, first come, first served; lookups, which need about twelve repeats each and finish with hardly any, emptied it within a second or two.

An entry node now states for each request what its tree is worth per arrival at the service that it calls most (treeValue); nested calls inherit it from their parent (UpstreamRuns). The node beside the upstream counts the repeats that each level of value wants, and while the budget can't keep that up for 5 s, grants them by falling value. The budget itself stays as it was.

--- a/src/coordination/CallCosts.cpp
+++ b/src/coordination/CallCosts.cpp
@@ -157,6 +157,14 @@
     return findReport(m_reported, route);
 }
 
+double CallCosts::maxReportedArrivals(const RouteId& route) const
+{
+    double maxArrivals = 1;
+    for (const auto& [service, arrivals] : findReport(m_reportedArrivals, route))
+        maxArrivals = std::max(maxArrivals, arrivals);
+    return maxArrivals;
+}
+
 const CostVector& CallCosts::findReport(const Reports& reports, const RouteId& route)
 {
     const auto found = reports.find(route);
--- a/src/coordination/CallCosts.h
+++ b/src/coordination/CallCosts.h
@@ -44,6 +44,9 @@
     double maxCallsPerRun(const RouteId&, double fallback) const;
     /// The costs of a route as responses reported them; empty when unknown.
     const CostVector& reportedCost(const RouteId&) const;
+    /// The arrivals at the service that a request of the route causes most at, as responses reported them; 1
+    /// when unknown.
+    double maxReportedArrivals(const RouteId&) const;
     /// The mean service time of the route's requests at this node's upstream; `fallback` when unknown.
     Duration meanServiceTime(const RouteId&, Duration fallback) const;
     /// Reduces the weight of old observations. Call it once a second.
--- a/src/coordination/EntryAdmission.cpp
+++ b/src/coordination/EntryAdmission.cpp
@@ -10,12 +10,6 @@
 
 /// Time constant of the moving average of arrivals.
 constexpr double demandSmoothingSeconds = 2;
-/// How much more a request of one priority is worth than one of the next. Route priorities count more than
-/// team priorities: non-idempotent requests of any team are shed after the reads of all teams.
-constexpr double worthPerRoutePriority = 2.5;
-constexpr double worthPerTeamPriority = 1.5;
-/// A caller's retry after the Retry-After time is admitted before new requests of the same priorities.
-constexpr double callerRetryWorthFactor = 1.5;
 /// Minimum admitted share of a class, relative to the mean admitted share, so that no class is starved.
 /// Operators consider a class starved below a quarter of the mean; the minimum is higher because some
 /// admitted requests fail later.
@@ -25,13 +19,6 @@
 /// Shares below this are noise of the overload controller.
 constexpr double minShedShare = 0.01;
 
-double worthOf(const DemandClass& demand)
-{
-    const double worth = std::pow(worthPerRoutePriority, -demand.routePriority)
-        * std::pow(worthPerTeamPriority, -demand.teamPriority);
-    return demand.isCallerRetry ? worth * callerRetryWorthFactor : worth;
-}
-
 /// The slot seconds that a request costs at a service. A route without known costs may call any service.
 double costAt(const CostVector& costs, const ServiceName& service)
 {
--- a/src/coordination/EntryAdmission.h
+++ b/src/coordination/EntryAdmission.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "coordination/CallCosts.h"
+#include "coordination/DemandClass.h"
 #include "state/RandomSource.h"
 
 #include <compare>
@@ -14,16 +15,6 @@
 
 namespace Ebonystack {
 
-/// Requests with the same admitted share.
-struct DemandClass {
-    RouteId route;
-    int routePriority { 0 }; ///< 0 is shed last
-    int teamPriority { 0 }; ///< 0 is shed last among requests of the same route priority
-    bool isCallerRetry { false }; ///< the caller retries a refused request after the Retry-After time
-
-    auto operator<=>(const DemandClass&) const = default;
-};
-
 /// The share of the demand for each service that has to be shed, from 0 to just under 1.
 using ShedShares = std::map<ServiceName, double>;
 
--- a/src/coordination/RetryBudget.cpp
+++ b/src/coordination/RetryBudget.cpp
@@ -47,8 +47,7 @@
         m_firstUseAt = now;
     RetryWindow& runs = runsOf(route);
     const double extra = extraRetries(now);
-    const WindowLimit arrivalLimit { usableRatioShare * m_limits.ratio, usableExtraShare * extra };
-    if (!m_arrivals.allowsRepeat(arrivalLimit, now))
+    if (!m_arrivals.allowsRepeat(arrivalLimit(now), now))
         return false;
     if (callsPerRun > 0) {
         const WindowLimit runLimit { nestingRatioShare * m_limits.ratio,
@@ -83,8 +82,20 @@
     return m_runs.try_emplace(route, m_limits.window).first->second;
 }
 
+WindowLimit RetryBudget::arrivalLimit(Instant now) const
+{
+    return { usableRatioShare * m_limits.ratio, usableExtraShare * extraRetries(now) };
+}
+
+double RetryBudget::repeatsLeft(Instant now) const
+{
+    return std::max(0.0, m_arrivals.repeatsLeft(arrivalLimit(now), now));
+}
+
 double RetryBudget::extraRetries(Instant now) const
 {
+    if (!m_firstUseAt)
+        return 0;
     // A node that has just started may have sent retries before it ended. It gets its part over one window.
     const double age = std::clamp(toSeconds(now - *m_firstUseAt) / toSeconds(m_limits.window), 0.0, 1.0);
     return m_limits.extraRetries * age / m_upstreamCount;
--- a/src/coordination/RetryBudget.h
+++ b/src/coordination/RetryBudget.h
@@ -47,6 +47,8 @@
     /// Called when the upstream has rejected a request without running it, so that it makes no nested calls.
     /// `repeatShare` is 1 for a repeat, `sentAt` the time for which the attempt was recorded.
     void recordNotRun(const RouteId&, double repeatShare, Instant sentAt);
+    /// How many repeats of routes without nested calls the budget allows now.
+    double repeatsLeft(Instant now) const;
     /// Frees the counts of routes without requests. Call it at regular intervals.
     void removeIdleRoutes(Instant now);
 
@@ -54,6 +56,7 @@
     RetryWindow& runsOf(const RouteId&);
     /// The extra retries of this node.
     double extraRetries(Instant now) const;
+    WindowLimit arrivalLimit(Instant now) const;
 
     RetryLimits m_limits;
     double m_upstreamCount { 1 };
--- a/src/coordination/RetryWindow.cpp
+++ b/src/coordination/RetryWindow.cpp
@@ -2,6 +2,7 @@
 #include "coordination/RetryWindow.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Ebonystack {
 
@@ -18,10 +19,11 @@
     bucket.repeats += repeats;
 }
 
-bool RetryWindow::allowsRepeat(const WindowLimit& limit, Instant now) const
+double RetryWindow::repeatsLeft(const WindowLimit& limit, Instant now) const
 {
     const std::int64_t last = indexOf(now);
-    double repeats = 1;
+    double repeats = 0;
+    double left = std::numeric_limits<double>::max();
     for (std::int64_t first = last; first >= last - bucketsPerWindow; --first) {
         repeats += sum(&Bucket::repeats, first, first);
         // The operator's limit counts the first attempts of the window, of the one before it or of the one
@@ -32,10 +34,9 @@
                                          + sum(&Bucket::firstAttempts, first - bucketsPerWindow / 2,
                                              std::min(last, first + bucketsPerWindow / 2 - 1)))
             / 3;
-        if (repeats > limit.ratio * firstAttempts + limit.extra)
-            return false;
+        left = std::min(left, limit.ratio * firstAttempts + limit.extra - repeats);
     }
-    return true;
+    return left;
 }
 
 double RetryWindow::sum(double Bucket::*amount, std::int64_t first, std::int64_t last) const
--- a/src/coordination/RetryWindow.h
+++ b/src/coordination/RetryWindow.h
@@ -30,8 +30,10 @@
     }
 
     void add(double firstAttempts, double repeats, Instant);
+    /// How many repeats at `now` stay within the limit; less than 1 when there is no room for one.
+    double repeatsLeft(const WindowLimit&, Instant now) const;
     /// Whether one more repeat at `now` stays within the limit.
-    bool allowsRepeat(const WindowLimit&, Instant now) const;
+    bool allowsRepeat(const WindowLimit& limit, Instant now) const { return repeatsLeft(limit, now) >= 1; }
     /// Whether nothing that was added matters any more.
     bool isIdle(Instant now) const { return indexOf(now) - m_lastIndex > bucketCount; }
 
--- a/src/coordination/UpstreamRuns.cpp
+++ b/src/coordination/UpstreamRuns.cpp
@@ -15,10 +15,10 @@
 
 } // namespace
 
-RunId UpstreamRuns::start(Instant deadline)
+RunId UpstreamRuns::start(Instant deadline, double treeValue)
 {
     const RunId id = ++m_lastId;
-    m_runs[id].deadline = deadline;
+    m_runs[id] = { deadline, treeValue, false };
     m_byDeadline.emplace(deadline, id);
     return id;
 }
@@ -52,6 +52,12 @@
     return nearest;
 }
 
+double UpstreamRuns::treeValue(RunId id) const
+{
+    const auto found = m_runs.find(id);
+    return found == m_runs.end() ? 0 : found->second.treeValue;
+}
+
 void UpstreamRuns::recordRefusedCall(RunId id)
 {
     const auto found = m_runs.find(id);
--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -143,7 +143,7 @@
     return Json::array({ frame.number, frame.route.text, frame.remainingTime.count(),
         frame.maxGateWait.count(), frame.rank, frame.idempotent, frame.isRedispatch, frame.instance.text,
         frame.method, encodeBytes(frame.target), encodeFields(frame.fields), encodeBytes(frame.body),
-        frame.repeatShare, encodeOptional(frame.knownRequestLimit) });
+        frame.repeatShare, encodeOptional(frame.knownRequestLimit), frame.treeValue });
 }
 
 Json encodeCosts(const CostVector& costs)
@@ -247,8 +247,9 @@
 {
     const double repeatShare = json.size() > 12 ? decodeShare(json.at(12)) : 0;
     const auto requestLimit = json.size() > 13 ? decodeOptional(json.at(13)) : std::nullopt;
+    const double treeValue = json.size() > 14 ? decodeOptional(json.at(14)).value_or(0) : 0;
     return HopRequest { json.at(0), { json.at(1) }, decodeDuration(json.at(2)), decodeDuration(json.at(3)),
-        json.at(4), json.at(5), json.at(6), repeatShare, requestLimit, { json.at(7) }, json.at(8),
+        json.at(4), json.at(5), json.at(6), repeatShare, requestLimit, treeValue, { json.at(7) }, json.at(8),
         decodeBytes(json.at(9)), decodeFields(json.at(10)), decodeBytes(json.at(11)) };
 }
 
--- a/src/protocol/PeerFrame.h
+++ b/src/protocol/PeerFrame.h
@@ -60,6 +60,9 @@
     /// The limit that the upstream named when the entry node last heard of it, for a node that has restarted
     /// since. Optional on the wire.
     std::optional<double> knownRequestLimit;
+    /// The worth of the call tree that the request belongs to, per arrival at the service that the tree calls
+    /// most, without a unit; 0 when unknown. Optional on the wire.
+    double treeValue { 0 };
     InstanceId instance; ///< the only instance that may run the request
     std::string method;
     std::string target;
--- a/src/transport/EntryCall.h
+++ b/src/transport/EntryCall.h
@@ -34,13 +34,18 @@
     Instant deadline; ///< the earlier of the caller's deadline and the route's timeout
     std::vector<VmId> triedVms; ///< not selected again
     std::vector<VmId> rejectingVms; ///< their upstreams rejected the request without running it
-    int dispatches { 0 }; ///< hop requests sent to nodes, without further offers to upstreams that rejected it
+    int dispatches {
+        0
+    }; ///< hop requests sent to nodes, without further offers to upstreams that rejected it
     int offers { 0 }; ///< dispatches that an upstream rejected
     std::uint32_t upstreamAttempts { 0 }; ///< upstreams that may have run it
     bool mayHaveRun { false };
     bool retried { false };
     double repeatShare { 0 }; ///< the probability that a repeated run has made this nested call
-    RunId parent { 0 }; ///< the run at the upstream beside this node that has made this nested call; 0: unknown
+    double treeValue { 0 }; ///< see HopRequest::treeValue
+    RunId parent {
+        0
+    }; ///< the run at the upstream beside this node that has made this nested call; 0: unknown
     bool wasRefused { false }; ///< a node refused to run it, or to run a nested call below it
     std::uint64_t hopNumber { 0 }; ///< of the hop request without a response; 0: none
     VmId hopVm; ///< of the last dispatch
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -139,8 +139,11 @@
                     shortRetryAfter));
         call.service = serviceSplit.next(*call.route);
         prepareUpstreamFields(call);
-        if (call.isNested)
+        if (call.isNested) {
             call.repeatShare = state.costs.recordCall(call.route->id);
+            call.treeValue = state.runs.treeValue(call.parent);
+        } else
+            call.treeValue = worthOf(demandClassOf(call)) / state.costs.maxReportedArrivals(call.route->id);
         return std::nullopt;
     }
 
@@ -345,6 +348,7 @@
                                       : call->route->priority * ranksPerRoutePriority + call->teamPriority;
         request.isRedispatch = call->dispatches > 0;
         request.repeatShare = hasReachedUpstream(*call) ? 1 : call->repeatShare;
+        request.treeValue = call->treeValue;
         request.idempotent = call->route->idempotent;
         request.instance = chosen->record.instance;
         request.knownRequestLimit = state.upstreamNotices.requestLimit(request.instance);
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -2,6 +2,7 @@
 #include "transport/HopService.h"
 
 #include "coordination/LocalUpstream.h"
+#include "coordination/RetryRationing.h"
 #include "coordination/SlotGate.h"
 #include "protocol/UpstreamNoticeDecoder.h"
 
@@ -124,7 +125,8 @@
     bool takeRepeat(Job& job, Instant now)
     {
         const RouteId& route = job.request.route;
-        const bool taken = state.retryBudget.takeRepeat(route, state.costs.maxCallsPerRun(route, 1), now);
+        const bool taken = retryRationing.admit(job.request.treeValue)
+            && state.retryBudget.takeRepeat(route, state.costs.maxCallsPerRun(route, 1), now);
         ++state.counters.repeatDecisions[{ route.text, taken ? "sent" : "denied" }];
         if (taken)
             job.attemptedAt = now;
@@ -166,7 +168,7 @@
                 if (self && unanswered)
                     self->onNoResponse(unanswered, at);
             });
-        job->run = state.runs.start(job->deadline);
+        job->run = state.runs.start(job->deadline, job->request.treeValue);
         send(job, now);
     }
 
@@ -506,6 +508,7 @@
     SlotGate gate;
     OverloadController overloadController;
     LocalUpstream localUpstream;
+    RetryRationing retryRationing;
     std::map<JobKey, JobPtr> jobs; // those that wait or run, and ended non-idempotent ones that are retained
     std::size_t openJobs { 0 }; // jobs that wait or run
     std::unordered_map<GateTicket, JobPtr> waiting; // jobs at the gate
@@ -573,6 +576,7 @@
         service.finishNotRun(job, HopReason::GateFull);
     }
     service.startJobs(service.gate.startDue(now), now);
+    service.retryRationing.update(service.state.retryBudget.repeatsLeft(now), now);
     service.overloadController.observe(
         service.gate.state(), std::exchange(service.arrivals, 0), service.gate.meanServiceTime(), now);
 }
