--- a/tools/lab/SimulatedUpstream.cpp
+++ b/tools/lab/SimulatedUpstream.cpp
@@ -157,8 +157,11 @@
     if (execution->callIndex == calls.size())
         return finish(execution, statusOk);
     ++execution->callsMade;
-    execution->cancelCall = m_makeNestedCall(calls[execution->callIndex].callee, execution->isRepeat,
-        execution->deadline - m_clock.now(), [weak = weak_from_this(), execution](std::uint16_t status) {
+    const RouteId& callee = calls[execution->callIndex].callee;
+    const Duration remainingTime
+        = std::min(execution->deadline - m_clock.now(), m_scenario.findKind(callee)->deadline);
+    execution->cancelCall = m_makeNestedCall(callee, execution->isRepeat, remainingTime,
+        [weak = weak_from_this(), execution](std::uint16_t status) {
             const auto self = weak.lock();
             if (!self || execution->ended)
                 return;
--- a/tools/lab/SimulationRun.cpp
+++ b/tools/lab/SimulationRun.cpp
@@ -38,7 +38,7 @@
 {
     KindResult result;
     std::vector<Duration> latencies;
-    const double requestShare = 1.0 / static_cast<double>(outcomes.size());
+    const double requestShare = 1.0 / static_cast<double>(std::max<std::size_t>(outcomes.size(), 1));
     for (const CallerOutcome& outcome : outcomes) {
         ++result.requested;
         if (outcome.result == CallerResult::Served) {
@@ -57,6 +57,19 @@
     return result;
 }
 
+std::vector<KindResult> summarizeSeconds(const std::vector<CallerOutcome>& outcomes)
+{
+    std::vector<std::vector<CallerOutcome>> bySecond;
+    for (const CallerOutcome& outcome : outcomes) {
+        const auto second = static_cast<std::size_t>(toSeconds(outcome.sentAt));
+        bySecond.resize(std::max(bySecond.size(), second + 1));
+        bySecond[second].push_back(outcome);
+    }
+    std::vector<KindResult> results;
+    std::ranges::transform(bySecond, std::back_inserter(results), summarizeKind);
+    return results;
+}
+
 /// Seconds from the beginning of the last phase to the first window that earns at least `recoveredWorthShare`
 /// of its requested worth; the whole phase when there is none.
 double recoverySeconds(const LoadScenario& scenario, const std::vector<CallerOutcome>& outcomes)
@@ -166,6 +179,7 @@
     SimulationResult result;
     for (const auto& [kind, list] : byKind) {
         result.kinds[kind] = summarizeKind(list);
+        result.seconds[kind] = summarizeSeconds(list);
         result.measures["worth " + kind.text] = kinds[kind].worthShare();
         result.measures["served " + kind.text] = kinds[kind].servedShare();
     }
--- a/tools/lab/SimulationRun.h
+++ b/tools/lab/SimulationRun.h
@@ -27,6 +27,7 @@
 
 struct SimulationResult {
     std::map<RouteId, KindResult> kinds;
+    std::map<RouteId, std::vector<KindResult>> seconds; ///< the same for the requests of each second
     /// "worth", "bound-share", "served", "worst-team", "wasted", "upstream-sheds", "retry-use", "limit-use",
     /// "late-arrivals",
     /// "plan-refusals", "others-refused", "recovery", "cut"; and "worth KIND" and "served KIND" for each
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -11,6 +11,7 @@
 DEFINE_uint64(seeds, 1, "Number of runs of each scenario, with seeds counted up from --seed.");
 DEFINE_bool(check, false, "Exit with code 1 when an expectation of the scenario is missed.");
 DEFINE_string(without, "", "Part of the product to switch off: admission or gate.");
+DEFINE_bool(timeline, false, "Print the requests of each second with their outcomes.");
 DEFINE_bool(json, false, "Print the measures of each run as a JSON line.");
 
 namespace {
@@ -36,6 +37,19 @@
     std::printf("\n");
 }
 
+void printTimeline(const SimulationResult& result)
+{
+    for (const auto& [kind, seconds] : result.seconds) {
+        std::printf("  %s: second, asked, in time, late, refused, failed\n", kind.text.c_str());
+        for (std::size_t second = 0; second < seconds.size(); ++second) {
+            const KindResult& row = seconds[second];
+            std::printf("  %6zu %8llu %8.3f %8.3f %8.3f %8.3f\n", second,
+                static_cast<unsigned long long>(row.requested), row.inTime, row.late, row.refused,
+                row.failed);
+        }
+    }
+}
+
 void printJson(const std::string& file, std::uint64_t seed, const SimulationResult& result)
 {
     std::printf("%s\n",
@@ -51,6 +65,8 @@
     const SimulationOptions options { FLAGS_without == "admission", FLAGS_without == "gate" };
     const SimulationResult result = runScenario(scenario, options, seed);
     (FLAGS_json ? printJson : printTable)(file, seed, result);
+    if (FLAGS_timeline)
+        printTimeline(result);
     const auto missed = missedExpectations(scenario, result);
     for (const std::string& expectation : missed)
         std::printf("  missed: %s\n", expectation.c_str());
