Learn a route's costs only from runs that no refused call has broken off

A run that ends early because a call is refused counted as a complete one, so a route of ten calls seemed to make two. Its calls are now kept with the run and count only when it was not broken off. Class: an average over runs that were cut short is taken for that of whole ones.

Parents are found by deadline among the runs that wait for no other call; a run that fails right after the refusal of a call whose parent is unknown (its deadline is its own) is marked as broken off, too. A trial that guessed the parent by the order of calls was dropped: it charged bundles, which make no calls, with those of template reads.

--- a/src/coordination/CallCosts.cpp
+++ b/src/coordination/CallCosts.cpp
@@ -72,6 +72,13 @@
     return repeatShare;
 }
 
+void CallCosts::recordCalls(const RouteId& route, const std::map<RouteId, std::uint32_t>& calls)
+{
+    LocalRoute& local = m_localRoutes[route];
+    for (const auto& [callee, count] : calls)
+        local.calls[callee] += count;
+}
+
 void CallCosts::updateReportedCost(const RouteId& route, const CostVector& reported)
 {
     updateReport(m_reported, route, reported);
--- a/src/coordination/CallCosts.h
+++ b/src/coordination/CallCosts.h
@@ -1,13 +1,14 @@
 // Learns what a request of each route costs at every service of its call tree: slot seconds, and the number
-// of requests that arrive there. A nested call does not name the request that it belongs to. It is therefore
-// attributed to all routes with requests running at that moment, in proportion to the rates at which they are
-// known to make such calls (expectation maximization). Responses carry the costs, so that entry nodes know
-// the costs of whole call trees without knowing the call graph.
+// of requests that arrive there. A nested call does not name the request that it belongs to. Unless its
+// deadline tells (see UpstreamRuns), it is attributed to all routes with requests running at that moment, in
+// proportion to the rates at which they are known to make such calls (expectation maximization). Responses
+// carry the costs, so that entry nodes know the costs of whole call trees without knowing the call graph.
 #pragma once
 
 #include "state/CostVector.h"
 #include "state/Time.h"
 
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -26,9 +27,12 @@
     /// Called when the request has ended after `serviceTime`. `executed` is false when the upstream did not
     /// run it; its service time then does not count. `repeatShare` is that of its last run.
     void requestEnded(const RouteId&, Duration serviceTime, bool executed, double repeatShare = 0);
-    /// Called when the upstream beside this node makes a nested call of the route `callee`. Returns the
-    /// probability that a repeated run makes the call.
+    /// Called when the upstream beside this node makes a nested call of the route `callee`, and the run that
+    /// makes it is not known. Returns the probability that a repeated run makes the call.
     double recordCall(const RouteId& callee);
+    /// Called with the nested calls of a known run of the route, by callee, when it has ended. Calls of a run
+    /// that was broken off don't show what a run costs, and are left out.
+    void recordCalls(const RouteId&, const std::map<RouteId, std::uint32_t>& calls);
 
     /// Updates the costs of a route from the costs that a response reported.
     void updateReportedCost(const RouteId&, const CostVector& reported);
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -47,6 +47,9 @@
 /// to 0.25 yield the most worth under overload.
 constexpr double gateWaitShare = 0.2;
 constexpr double nestedGateWaitShare = 0.4;
+/// The repeat share of the first attempt of a repeated run's call. Below 1, so that the call counts toward
+/// the retry budget but isn't rejected when that is spent: its run would have been for nothing.
+constexpr double maxInducedRepeatShare = 0.99;
 /// Retry-After when the node is starting or leaving, or when no VM could run the request.
 constexpr Duration shortRetryAfter = 300ms;
 /// Gate rank of nested calls. They go before callers' requests because work on their request has started.
@@ -132,21 +135,34 @@
             return notRunRefusal(ResultCode::RouteUnknown, "no route matches the request's host and path");
         if (auto refusal = authenticate(call))
             return refusal;
-        setDeadline(call);
+        const auto callerRemainingTime = readDeadline(fields, names().deadline);
+        setDeadline(call, callerRemainingTime);
         if (!state.canFinish(call.deadline + responseTransitTime))
             return boundRetryAfter(call,
                 notRunRefusal(ResultCode::NodeLeaving, "the node shuts down before the request's deadline",
                     shortRetryAfter));
         call.service = serviceSplit.next(*call.route);
         prepareUpstreamFields(call);
-        if (call.isNested) {
-            call.repeatShare = state.costs.recordCall(call.route->id);
-            call.treeValue = state.runs.treeValue(call.parent);
-        } else
+        if (call.isNested)
+            attributeCall(call, callerRemainingTime.value_or(maxCallTime));
+        else
             call.treeValue = worthOf(demandClassOf(call)) / state.costs.maxReportedArrivals(call.route->id);
         return std::nullopt;
     }
 
+    /// Takes what is known of a nested call from the run that makes it.
+    void attributeCall(Call& call, Duration remainingTime)
+    {
+        call.parent = state.runs.startCall(call.route->id, call.receivedAt + remainingTime);
+        const UpstreamRun* parent = state.runs.find(call.parent);
+        if (!parent) {
+            call.repeatShare = state.costs.recordCall(call.route->id);
+            return;
+        }
+        call.repeatShare = std::min(parent->repeatShare, maxInducedRepeatShare);
+        call.treeValue = parent->treeValue;
+    }
+
     std::optional<Refusal> authenticate(Call& call)
     {
         const auto key = keyOf(call.request.head.fields);
@@ -177,14 +193,11 @@
         return value;
     }
 
-    void setDeadline(Call& call)
+    void setDeadline(Call& call, const std::optional<Duration>& callerRemainingTime)
     {
         const RouteConfig& route = *call.route;
         const Duration timeout
             = route.timeout > Duration::zero() ? route.timeout + timeoutSlack : maxCallTime;
-        const auto callerRemainingTime = readDeadline(call.request.head.fields, names().deadline);
-        if (callerRemainingTime && call.isNested)
-            call.parent = state.runs.findParent(call.receivedAt + *callerRemainingTime).value_or(0);
         call.deadline = call.receivedAt + std::min(timeout, callerRemainingTime.value_or(timeout));
         if (callerRemainingTime && !call.isNested)
             call.isCallerRetry
@@ -625,8 +638,7 @@
 
     void end(const CallPtr& call, HttpResponse callerResponse)
     {
-        if (call->wasRefused && callerResponse.head.status >= statusFirstServerError)
-            state.runs.recordRefusedCall(call->parent);
+        call->wasRefused = call->wasRefused && callerResponse.head.status >= statusFirstServerError;
         removeCall(*call);
         call->respond(std::move(callerResponse));
     }
@@ -635,6 +647,8 @@
     {
         if (call.timer)
             state.timers.cancel(*call.timer);
+        if (call.isNested)
+            state.runs.endCall(call.parent, call.wasRefused, state.now());
         calls.erase(call.id);
     }
 
@@ -652,6 +666,7 @@
         if (!call)
             return;
         ++state.counters.cancelled;
+        call->wasRefused = false;
         state.log.request("caller gone", call->requestId, state.now(), [&] {
             return nlohmann::json { { "tookMs", toMilliseconds(state.now() - call->receivedAt) },
                 { "vm", call->hopVm.text } };
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint16_t statusMisdirected = 421;
 constexpr std::uint16_t statusOkFirst = 200;
 constexpr std::uint16_t statusOkLast = 299;
+constexpr std::uint16_t statusFirstServerError = 500;
 /// For routes that have not run here yet.
 constexpr Duration defaultServiceTime = 60ms;
 /// Share of the remaining time that a request may wait at the gate, so that it can finish once it starts.
@@ -168,7 +169,8 @@
                 if (self && unanswered)
                     self->onNoResponse(unanswered, at);
             });
-        job->run = state.runs.start(job->deadline, job->request.treeValue);
+        job->run = state.runs.start({ job->request.route, job->deadline, job->request.treeValue,
+            job->request.repeatShare, {}, false });
         send(job, now);
     }
 
@@ -187,19 +189,24 @@
     /// Releases the job's slot and ends the job.
     void endAtUpstream(const JobPtr& job, HopResponse response, Instant now)
     {
-        response.hasRefusedCall = releaseSlot(job, response.outcome != HopOutcome::NotRun, now);
+        const bool failed = response.status >= statusFirstServerError;
+        response.hasRefusedCall = releaseSlot(job, response.outcome != HopOutcome::NotRun, failed, now);
         finish(job, std::move(response));
     }
 
     /// Returns whether a nested call of the job was refused.
-    bool releaseSlot(const JobPtr& job, bool hasRun, Instant now)
+    bool releaseSlot(const JobPtr& job, bool hasRun, bool failed, Instant now)
     {
         if (job->timeout)
             state.timers.cancel(*job->timeout);
         job->timeout.reset();
-        const bool hasRefusedCall = state.runs.end(job->run);
+        const auto run = state.runs.end(job->run, failed, now);
+        const bool hasRefusedCall = run && run->hasRefusedCall;
         const Duration serviceTime = now - job->startedAt;
-        state.costs.requestEnded(job->request.route, serviceTime, hasRun, repeatShareOf(*job));
+        const bool isComplete = hasRun && !hasRefusedCall;
+        state.costs.requestEnded(job->request.route, serviceTime, isComplete, repeatShareOf(*job));
+        if (run && isComplete)
+            state.costs.recordCalls(job->request.route, run->calls);
         startJobs(gate.depart(serviceTime, now), now);
         return hasRefusedCall;
     }
@@ -249,6 +256,7 @@
             job->reachedUpstream = true;
         if (mayResend(*job, result, now)) {
             state.costs.requestRepeated(job->request.route, repeatShareOf(*job));
+            state.runs.recordRepeat(job->run);
             job->resent = true;
             ++state.counters.retries;
             state.log.request("sent again to the upstream", job->id, now, [&] {
@@ -445,7 +453,7 @@
         }
         upstream.abort(job->exchange);
         endJob(job);
-        releaseSlot(job, true, now);
+        releaseSlot(job, true, false, now);
     }
 
     std::vector<JobPtr> jobsOf(const HopOrigin& origin) const
--- a/test/correctness/RefusedCallsAreNotRetriedAbove.cpp
+++ b/test/correctness/RefusedCallsAreNotRetriedAbove.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr Instant deadline { 100s };
-
 ScriptedResponse respondWithError(const HttpRequest& request)
 {
     return { "HTTP/1.1 500 Failed\r\nX-Id: " + std::string(request.head.fields.find("X-Id").value_or(""))
@@ -47,9 +45,8 @@
     HopServiceFixture* running = nullptr;
     bool refuses = true;
     HopServiceFixture fixture([&](const HttpRequest& request) {
-        const auto parent = running->state.runs.findParent(running->state.now() + 2s);
-        if (parent && refuses)
-            running->state.runs.recordRefusedCall(*parent);
+        const Instant now = running->state.now();
+        running->state.runs.endCall(running->state.runs.startCall({ "leaf" }, now + 2s), refuses, now);
         return respondWithError(request);
     });
     running = &fixture;
@@ -62,15 +59,16 @@
     CHECK_FALSE(fixture.responses[1].hasRefusedCall);
 }
 
-TEST_CASE("a refused nested call marks the run that has its deadline, also when the refusal is further below")
+TEST_CASE("a refused nested call marks the run that made it, also when the refusal is further below")
 {
     EntryServiceFixture fixture;
     ServingConfig config = makeServingConfig();
     config.routes[0].isPublic = true;
     fixture.state.config = std::make_shared<const ServingIndex>(config);
-    const RunId other = fixture.state.runs.start(fixture.now + 1400ms);
+    UpstreamRuns& runs = fixture.state.runs;
+    const RunId other = runs.start({ { "other" }, fixture.now + 1400ms });
     for (const HopOutcome outcome : { HopOutcome::NotRun, HopOutcome::Responded }) {
-        const RunId parent = fixture.state.runs.start(fixture.now + 1s);
+        const RunId parent = runs.start({ { "parent" }, fixture.now + 1s });
         HttpRequest call = makeCallerRequest("/read/1", "1");
         call.head.fields.removeIf([](const HttpField& field) { return field.name == "Authorization"; });
         fixture.begin(call);
@@ -79,22 +77,7 @@
         response.outcome = outcome;
         response.reason = HopReason::RetryBudgetSpent;
         fixture.entry.onResponse(sent.vm, response);
-        CHECK(fixture.state.runs.end(parent));
+        CHECK(runs.end(parent, true, fixture.now)->hasRefusedCall);
     }
-    CHECK_FALSE(fixture.state.runs.end(other));
-}
-
-TEST_CASE("the parent of a call is the run with the nearest deadline, within rounding and transit")
-{
-    UpstreamRuns runs;
-    const RunId first = runs.start(deadline);
-    const RunId second = runs.start(deadline + 30ms);
-    CHECK(runs.findParent(deadline - 2ms) == first);
-    CHECK(runs.findParent(deadline + 10ms) == first);
-    CHECK(runs.findParent(deadline + 28ms) == second);
-    CHECK(runs.findParent(deadline + 35ms) == second);
-    CHECK_FALSE(runs.findParent(deadline - 10ms));
-    CHECK_FALSE(runs.findParent(deadline + 90ms));
-    runs.end(second);
-    CHECK(runs.findParent(deadline + 30ms) == first);
+    CHECK_FALSE(runs.end(other, true, fixture.now)->hasRefusedCall);
 }
--- a/test/correctness/RepeatsGoToTreesOfMostValue.cpp
+++ b/test/correctness/RepeatsGoToTreesOfMostValue.cpp
@@ -61,12 +61,12 @@
     ServingConfig config = makeServingConfig();
     config.routes[0].isPublic = true;
     fixture.state.config = std::make_shared<const ServingIndex>(config);
-    const RunId parent = fixture.state.runs.start(fixture.now + 1s, highValue);
+    const RunId parent = fixture.state.runs.start({ { "parent" }, fixture.now + 1s, highValue });
     HttpRequest call = makeCallerRequest("/read/1", "1");
     call.head.fields.removeIf([](const HttpField& field) { return field.name == "Authorization"; });
     fixture.begin(call);
     CHECK(fixture.transport.sent.back().request.treeValue == highValue);
-    fixture.state.runs.end(parent);
+    fixture.state.runs.end(parent, false, fixture.now);
     fixture.begin(call);
     CHECK(fixture.transport.sent.back().request.treeValue == 0);
 }
