Use the repeats that the operator allows: counted by the whole service, spent where some are left

Cause: each node took the mean of the three windows that the operator compares, since it can't know which of them has most for the service. At the start of a fault that mean is half of the largest. A request that upstreams rejected is offered to those whose node has repeats left. Trees of the same worth get values that differ at random, so that all calls of some of them get repeats instead of some calls of all. Repeats of trees of less worth have to last longer, as far as the worth is known; calls of unknown trees are limited by the budget alone.

The log's load event and the load reports have the rejections and the repeats left.

The test "when load has risen or fallen" needs the new call; the code before has not got it.

--- a/src/coordination/RetryBudget.cpp
+++ b/src/coordination/RetryBudget.cpp
@@ -24,6 +24,7 @@
 
 RetryBudget::RetryBudget(const RetryLimits& limits)
     : m_limits(limits)
+    , m_service(limits.window)
     , m_arrivals(limits.window)
 {
 }
@@ -33,6 +34,13 @@
     m_upstreamCount = static_cast<double>(std::max<std::size_t>(count, 1));
 }
 
+void RetryBudget::recordServiceRequests(double requestsPerSecond, Instant now)
+{
+    if (m_serviceRecordedAt)
+        m_service.add(requestsPerSecond * toSeconds(now - *m_serviceRecordedAt), 0, now);
+    m_serviceRecordedAt = now;
+}
+
 void RetryBudget::recordFirstAttempt(const RouteId& route, double repeatShare, Instant now)
 {
     if (!m_firstUseAt)
@@ -47,12 +55,12 @@
         m_firstUseAt = now;
     RetryWindow& runs = runsOf(route);
     const double extra = extraRetries(now);
-    if (!m_arrivals.allowsRepeat(arrivalLimit(now), now))
+    if (!m_arrivals.allowsRepeat(arrivalLimit(now), m_service, now))
         return false;
     if (callsPerRun > 0) {
         const WindowLimit runLimit { nestingRatioShare * m_limits.ratio,
             nestingExtraShare * extra / std::max(callsPerRun, 1.0) };
-        if (!runs.allowsRepeat(runLimit, now))
+        if (!runs.allowsRepeat(runLimit, m_service, now))
             return false;
     }
     m_arrivals.add(0, 1, now);
@@ -89,7 +97,7 @@
 
 double RetryBudget::repeatsLeft(Instant now) const
 {
-    return std::max(0.0, m_arrivals.repeatsLeft(arrivalLimit(now), now));
+    return std::max(0.0, m_arrivals.repeatsLeft(arrivalLimit(now), m_service, now));
 }
 
 double RetryBudget::extraRetries(Instant now) const
--- a/src/coordination/RetryBudget.h
+++ b/src/coordination/RetryBudget.h
@@ -35,6 +35,9 @@
     /// Sets the number of upstreams of the service that share the extra retries.
     void setUpstreamCount(std::size_t count);
 
+    /// Called at short, regular intervals with the first attempts at all upstreams of the service.
+    void recordServiceRequests(double requestsPerSecond, Instant now);
+
     /// Called when a request that has not reached an upstream before is sent to the upstream. `repeatShare`
     /// is the probability that a repeated run has made it.
     void recordFirstAttempt(const RouteId&, double repeatShare, Instant now);
@@ -61,6 +64,8 @@
     RetryLimits m_limits;
     double m_upstreamCount { 1 };
     std::optional<Instant> m_firstUseAt;
+    std::optional<Instant> m_serviceRecordedAt;
+    RetryWindow m_service; // first attempts at all upstreams of the service
     RetryWindow m_arrivals; // at the upstream
     std::map<RouteId, RetryWindow> m_runs; // at the upstream, without rejected requests
 };
--- a/src/coordination/RetryWindow.cpp
+++ b/src/coordination/RetryWindow.cpp
@@ -19,26 +19,40 @@
     bucket.repeats += repeats;
 }
 
-double RetryWindow::repeatsLeft(const WindowLimit& limit, Instant now) const
+double RetryWindow::repeatsLeft(const WindowLimit& limit, const RetryWindow& service, Instant now) const
 {
     const std::int64_t last = indexOf(now);
     double repeats = 0;
     double left = std::numeric_limits<double>::max();
     for (std::int64_t first = last; first >= last - bucketsPerWindow; --first) {
         repeats += sum(&Bucket::repeats, first, first);
-        // The operator's limit counts the first attempts of the window, of the one before it or of the one
-        // half a window before it, whichever has most. The mean of the three is never more than that, and
-        // means of several nodes add up.
-        const double firstAttempts = (sum(&Bucket::firstAttempts, first, last)
-                                         + sum(&Bucket::firstAttempts, first - bucketsPerWindow, first - 1)
-                                         + sum(&Bucket::firstAttempts, first - bucketsPerWindow / 2,
-                                             std::min(last, first + bucketsPerWindow / 2 - 1)))
-            / 3;
+        const double firstAttempts = countedFirstAttempts(service, first, last);
         left = std::min(left, limit.ratio * firstAttempts + limit.extra - repeats);
     }
     return left;
 }
 
+std::array<double, 3> RetryWindow::comparedFirstAttempts(std::int64_t first, std::int64_t last) const
+{
+    return { sum(&Bucket::firstAttempts, first, last),
+        sum(&Bucket::firstAttempts, first - bucketsPerWindow, first - 1),
+        sum(&Bucket::firstAttempts, first - bucketsPerWindow / 2,
+            std::min(last, first + bucketsPerWindow / 2 - 1)) };
+}
+
+double RetryWindow::countedFirstAttempts(
+    const RetryWindow& service, std::int64_t first, std::int64_t last) const
+{
+    // The operator counts the window in which the whole service has most. Without knowledge of the service
+    // the mean of the three is never more than that.
+    const std::array<double, 3> own = comparedFirstAttempts(first, last);
+    const std::array<double, 3> all = service.comparedFirstAttempts(first, last);
+    const auto* const most = std::ranges::max_element(all);
+    if (*most <= 0)
+        return (own[0] + own[1] + own[2]) / 3;
+    return own.at(static_cast<std::size_t>(most - all.begin()));
+}
+
 double RetryWindow::sum(double Bucket::*amount, std::int64_t first, std::int64_t last) const
 {
     double total = 0;
--- a/src/coordination/RetryWindow.h
+++ b/src/coordination/RetryWindow.h
@@ -1,7 +1,8 @@
 // Counts first attempts and repeats in a sliding window, and tells whether one more repeat stays within a
 // limit in every window that contains it. The limit is the operator's: a part of the first attempts plus a
 // constant. Counts of several nodes can be added: if each node stays within its limit, the sum of their
-// repeats stays within the sum of the limits.
+// repeats stays within the sum of the limits. That holds as long as all nodes compare the same windows, so
+// they choose them by the first attempts of the whole service.
 #pragma once
 
 #include "state/Time.h"
@@ -30,10 +31,14 @@
     }
 
     void add(double firstAttempts, double repeats, Instant);
-    /// How many repeats at `now` stay within the limit; less than 1 when there is no room for one.
-    double repeatsLeft(const WindowLimit&, Instant now) const;
+    /// How many repeats at `now` stay within the limit; less than 1 when there is no room for one. `service`
+    /// has the first attempts at all upstreams of the service, as far as they are known.
+    double repeatsLeft(const WindowLimit&, const RetryWindow& service, Instant now) const;
     /// Whether one more repeat at `now` stays within the limit.
-    bool allowsRepeat(const WindowLimit& limit, Instant now) const { return repeatsLeft(limit, now) >= 1; }
+    bool allowsRepeat(const WindowLimit& limit, const RetryWindow& service, Instant now) const
+    {
+        return repeatsLeft(limit, service, now) >= 1;
+    }
     /// Whether nothing that was added matters any more.
     bool isIdle(Instant now) const { return indexOf(now) - m_lastIndex > bucketCount; }
 
@@ -48,6 +53,11 @@
     };
 
     std::int64_t indexOf(Instant at) const { return at.time_since_epoch() / m_bucketLength; }
+    /// The first attempts of the windows that the operator's limit compares for the window that begins with
+    /// bucket `first`: of itself, the one before it and the one half a window before it.
+    std::array<double, 3> comparedFirstAttempts(std::int64_t first, std::int64_t last) const;
+    /// Those of them that count for the limit.
+    double countedFirstAttempts(const RetryWindow& service, std::int64_t first, std::int64_t last) const;
     /// The sum over the buckets from `first` to `last`, both included.
     double sum(double Bucket::*amount, std::int64_t first, std::int64_t last) const;
 
--- a/src/coordination/UpstreamSelector.cpp
+++ b/src/coordination/UpstreamSelector.cpp
@@ -58,6 +58,12 @@
     return weights.back().first;
 }
 
+bool UpstreamSelector::lacksRepeats(const VmId& vm, Instant now) const
+{
+    const UpstreamLoad* load = currentLoad(vm, now);
+    return load && load->retryLoad.rejections > 0 && load->retryLoad.repeatsLeft < 1;
+}
+
 void UpstreamSelector::requestStarted(const VmId& vm) { ++m_vmStates[vm].startedSinceReport; }
 
 void UpstreamSelector::requestEnded(const VmId& vm, bool failed, Instant now)
@@ -81,18 +87,35 @@
     double shed = 0;
     double slots = 0;
     for (const KnownUpstream* upstream : upstreams) {
-        const auto found = m_vmStates.find(upstream->record.vm);
-        const bool hasCurrentLoad = found != m_vmStates.end() && found->second.observedAt
-            && now - *found->second.observedAt < loadReportLifetime;
-        if (!hasCurrentLoad)
+        const UpstreamLoad* load = currentLoad(upstream->record.vm, now);
+        if (!load)
             continue;
-        const double upstreamCapacity = capacity(*upstream, found->second.load);
-        shed += found->second.load.shedShare * upstreamCapacity;
+        const double upstreamCapacity = capacity(*upstream, *load);
+        shed += load->shedShare * upstreamCapacity;
         slots += upstreamCapacity;
     }
     return slots > 0 ? shed / slots : 0;
 }
 
+double UpstreamSelector::requestsPerSecond(
+    const std::vector<const KnownUpstream*>& upstreams, Instant now) const
+{
+    double requests = 0;
+    for (const KnownUpstream* upstream : upstreams) {
+        const UpstreamLoad* load = currentLoad(upstream->record.vm, now);
+        requests += load ? load->retryLoad.requests : 0;
+    }
+    return requests;
+}
+
+const UpstreamLoad* UpstreamSelector::currentLoad(const VmId& vm, Instant now) const
+{
+    const auto found = m_vmStates.find(vm);
+    const bool isCurrent = found != m_vmStates.end() && found->second.observedAt
+        && now - *found->second.observedAt < loadReportLifetime;
+    return isCurrent ? &found->second.load : nullptr;
+}
+
 double UpstreamSelector::capacity(const KnownUpstream& upstream, const UpstreamLoad& load)
 {
     const bool isLimited = load.notice && load.notice->requestsPerSecond;
--- a/src/coordination/UpstreamSelector.h
+++ b/src/coordination/UpstreamSelector.h
@@ -23,6 +23,9 @@
     const KnownUpstream* select(
         const std::vector<const KnownUpstream*>& candidates, const std::vector<VmId>& triedVms, Instant now);
 
+    /// Whether the VM's node has said that it has no repeats left.
+    bool lacksRepeats(const VmId&, Instant now) const;
+
     /// Called when a request is sent to a VM.
     void requestStarted(const VmId&);
     /// Called when the request has ended; `failed` when the upstream gave no response or an error.
@@ -32,6 +35,8 @@
 
     /// The mean shed share of the upstreams with a current load report, weighted by their slots.
     double shedShare(const std::vector<const KnownUpstream*>&, Instant now) const;
+    /// The requests per second that reach the upstreams with a current load report, without repeats.
+    double requestsPerSecond(const std::vector<const KnownUpstream*>&, Instant now) const;
 
 private:
     struct VmState {
@@ -43,6 +48,8 @@
     };
 
     double weight(const KnownUpstream&, Instant now) const;
+    /// The load that a VM has reported; null when there is no current report.
+    const UpstreamLoad* currentLoad(const VmId&, Instant now) const;
     /// The requests that run at the upstream at the same time at most, by its record and its load report.
     static double capacity(const KnownUpstream&, const UpstreamLoad&);
 
--- a/src/coordination/RetryRationing.cpp
+++ b/src/coordination/ValueRationing.cpp
@@ -1,5 +1,5 @@
-// Grants repeats by falling value of the trees.
-#include "coordination/RetryRationing.h"
+// Grants what is wanted by falling value of the trees.
+#include "coordination/ValueRationing.h"
 
 #include <algorithm>
 #include <cmath>
@@ -11,13 +11,11 @@
 
 using namespace std::chrono_literals;
 
-/// Time for which the repeats that are left should last.
-constexpr Duration spendingHorizon = 5s;
 /// Time constant of the moving averages of what is wanted.
 constexpr Duration smoothingTime = 300ms;
 /// Trees whose values differ by less than about a factor of 2 to the power of 1 / levelsPerDoubling share a
 /// level.
-constexpr double levelsPerDoubling = 2;
+constexpr double levelsPerDoubling = 12;
 constexpr double minTreeValue = 1e-6;
 /// A class that wants less is removed.
 constexpr double minWantedPerSecond = 1e-3;
@@ -29,7 +27,7 @@
 
 } // namespace
 
-bool RetryRationing::admit(double treeValue)
+bool ValueRationing::admit(double treeValue)
 {
     Demand& demand = m_demands[levelOf(treeValue)];
     ++demand.wantedSinceUpdate;
@@ -40,29 +38,26 @@
     return true;
 }
 
-void RetryRationing::update(double repeatsLeft, Instant now)
+void ValueRationing::update(const RationedSupply& supply, Instant now)
 {
     const Duration elapsed = m_updatedAt ? now - *m_updatedAt : smoothingTime;
     m_updatedAt = now;
     const double seconds = std::max(toSeconds(elapsed), 1e-3);
-    double available = std::max(repeatsLeft, 0.0) / toSeconds(spendingHorizon);
-    for (Demand& demand : m_demands | std::views::reverse | std::views::values) {
+    const int topLevel = m_demands.empty() ? 0 : m_demands.rbegin()->first;
+    double granted = 0;
+    for (auto& [level, demand] : m_demands | std::views::reverse) {
         const double sample = std::exchange(demand.wantedSinceUpdate, 0) / seconds;
         demand.wantedPerSecond
             += (sample - demand.wantedPerSecond) * std::min(1.0, seconds / toSeconds(smoothingTime));
+        const double relativeValue = std::exp2((level - topLevel) / levelsPerDoubling);
+        const double horizon
+            = std::min(toSeconds(supply.longestHorizon), toSeconds(supply.shortestHorizon) / relativeValue);
+        const double available = std::max(0.0, supply.amount / horizon - granted);
         demand.share = demand.wantedPerSecond > available ? available / demand.wantedPerSecond : 1;
-        available -= demand.share * demand.wantedPerSecond;
+        granted += demand.share * demand.wantedPerSecond;
     }
     std::erase_if(
         m_demands, [](const auto& item) { return item.second.wantedPerSecond < minWantedPerSecond; });
 }
 
-double RetryRationing::wantedPerSecond() const
-{
-    double wanted = 0;
-    for (const Demand& demand : m_demands | std::views::values)
-        wanted += demand.wantedPerSecond;
-    return wanted;
-}
-
 } // namespace Ebonystack
--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -100,6 +100,32 @@
     return std::isfinite(share) && share >= 0 ? std::min(share, 1.0) : 0;
 }
 
+/// Position of the retry load in an encoded load, after the notice.
+constexpr std::size_t retryLoadIndex = 9;
+/// Rates are sent as whole numbers of a tenth, which take few bytes.
+constexpr double unitsPerRequest = 10;
+
+/// The members of a retry load in the order of the wire.
+constexpr std::array retryLoadMembers { &RetryLoad::requests, &RetryLoad::arrivals, &RetryLoad::rejections,
+    &RetryLoad::repeatsLeft };
+
+Json encodeRetryLoad(const RetryLoad& load)
+{
+    Json json = Json::array();
+    for (double RetryLoad::*const member : retryLoadMembers)
+        json.push_back(
+            static_cast<std::uint64_t>(std::llround(std::max(load.*member, 0.0) * unitsPerRequest)));
+    return json;
+}
+
+RetryLoad decodeRetryLoad(const Json& json)
+{
+    RetryLoad load;
+    for (std::size_t i = 0; i < retryLoadMembers.size(); ++i)
+        load.*retryLoadMembers.at(i) = decodeOptional(json.at(i)).value_or(0) / unitsPerRequest;
+    return load;
+}
+
 Json encodeLoad(const UpstreamLoad& load)
 {
     Json json = Json::array({ load.gate.running, load.gate.queued, load.gate.limit, load.shedShare,
@@ -109,14 +135,19 @@
         json.push_back(encodeOptional(load.notice->requestsPerSecond));
         json.push_back(load.notice->leaving);
     }
+    while (json.size() < retryLoadIndex)
+        json.push_back(Json());
+    json.push_back(encodeRetryLoad(load.retryLoad));
     return json;
 }
 
 UpstreamLoad decodeLoad(const Json& json)
 {
     UpstreamLoad load { { json.at(0), json.at(1), json.at(2) }, json.at(3),
-        Duration(json.at(4).get<std::int64_t>()), json.at(5), std::nullopt };
-    if (json.size() > 6)
+        Duration(json.at(4).get<std::int64_t>()), json.at(5), std::nullopt, {} };
+    if (json.size() > retryLoadIndex)
+        load.retryLoad = decodeRetryLoad(json.at(retryLoadIndex));
+    if (json.size() > 6 && !json.at(6).is_null())
         load.notice = { { json.at(6).get<std::string>() }, decodeOptional(json.at(7)), json.at(8) };
     return load;
 }
--- a/src/state/UpstreamLoad.h
+++ b/src/state/UpstreamLoad.h
@@ -1,6 +1,7 @@
 // The load of an upstream as its node reports it.
 #pragma once
 
+#include "state/RetryLoad.h"
 #include "state/Time.h"
 #include "state/UpstreamNotice.h"
 
@@ -26,6 +27,7 @@
     bool acceptsRequests { true }; ///< false: the upstream can't be reached, or its node is shutting down
     /// What the upstream says of itself; nothing until it has said something since its node's start.
     std::optional<UpstreamNotice> notice;
+    RetryLoad retryLoad;
 
     auto operator<=>(const UpstreamLoad&) const = default;
 };
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -47,6 +47,9 @@
 /// to 0.25 yield the most worth under overload.
 constexpr double gateWaitShare = 0.2;
 constexpr double nestedGateWaitShare = 0.4;
+/// Trees of the same worth get values that differ by up to this factor, at random. When repeats suffice for a
+/// part of them, all calls of the same trees get them.
+constexpr double treeValueSpread = 0.3;
 /// The repeat share of the first attempt of a repeated run's call. Below 1, so that the call counts toward
 /// the retry budget but isn't rejected when that is spent: its run would have been for nothing.
 constexpr double maxInducedRepeatShare = 0.99;
@@ -91,6 +94,7 @@
     Internals(SidecarState& sharedState, NodeTransport& nodeTransport, std::uint64_t seed)
         : state(sharedState)
         , transport(nodeTransport)
+        , random(seed + 2)
         , admission(seed + 1)
         , retryAfterPolicy(seed)
         , tokenClient(std::make_shared<TokenClient>(sharedState, nodeTransport))
@@ -146,7 +150,8 @@
         if (call.isNested)
             attributeCall(call, callerRemainingTime.value_or(maxCallTime));
         else
-            call.treeValue = worthOf(demandClassOf(call)) / state.costs.maxReportedArrivals(call.route->id);
+            call.treeValue = worthOf(demandClassOf(call)) / state.costs.maxReportedArrivals(call.route->id)
+                * (1 + treeValueSpread * random.uniform());
         return std::nullopt;
     }
 
@@ -333,6 +338,13 @@
     const KnownUpstream* selectUpstream(const Call& call, Instant now)
     {
         auto upstreams = reachableUpstreams(call.service);
+        if (hasReachedUpstream(call)) {
+            const auto lacksRepeats = [&](const KnownUpstream* upstream) {
+                return state.upstreamSelector.lacksRepeats(upstream->record.vm, now);
+            };
+            if (!std::ranges::all_of(upstreams, lacksRepeats))
+                std::erase_if(upstreams, lacksRepeats);
+        }
         if (!hasReachedUpstream(call) || mayReachOther(call)) {
             const auto* untried = state.upstreamSelector.select(upstreams, call.triedVms, now);
             if (untried || call.rejectingVms.empty())
@@ -752,6 +764,7 @@
 
     SidecarState& state;
     NodeTransport& transport;
+    RandomSource random;
     EntryAdmission admission;
     RetryAfterPolicy retryAfterPolicy;
     ServiceSplit serviceSplit;
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -2,8 +2,9 @@
 #include "transport/HopService.h"
 
 #include "coordination/LocalUpstream.h"
-#include "coordination/RetryRationing.h"
+#include "coordination/RetryMonitor.h"
 #include "coordination/SlotGate.h"
+#include "coordination/ValueRationing.h"
 #include "protocol/UpstreamNoticeDecoder.h"
 
 #include <algorithm>
@@ -35,6 +36,10 @@
 constexpr Duration responseRetention = 5s;
 /// How long the record of a non-idempotent request is kept: no entry node waits longer for a response.
 constexpr Duration outcomeRetention = 60s;
+constexpr Duration serviceObservationPeriod = 250ms;
+/// Time for which the repeats that are left should last, see RationedSupply.
+constexpr Duration shortestRetryHorizon = 1500ms;
+constexpr Duration longestRetryHorizon = 10s;
 /// How long after a failed connection the reported load says that the upstream accepts no requests.
 constexpr Duration upstreamDownTime = 700ms;
 
@@ -78,7 +83,7 @@
         const bool acceptsRequests = state.acceptsPeerRequests() && now >= upstreamDownUntil
             && !localUpstream.isLeaving() && !localUpstream.isDraining();
         return { gate.state(), overloadController.shedShare(), gate.meanServiceTime(), acceptsRequests,
-            localUpstream.notice() };
+            localUpstream.notice(), retryMonitor.load() };
     }
 
     void request(const HopOrigin& origin, HopRequest request)
@@ -126,14 +131,26 @@
     bool takeRepeat(Job& job, Instant now)
     {
         const RouteId& route = job.request.route;
-        const bool taken = retryRationing.admit(job.request.treeValue)
-            && state.retryBudget.takeRepeat(route, state.costs.maxCallsPerRun(route, 1), now);
+        const bool isGranted = job.request.treeValue <= 0 || repeatRationing.admit(job.request.treeValue);
+        const bool taken
+            = isGranted && state.retryBudget.takeRepeat(route, state.costs.maxCallsPerRun(route, 1), now);
         ++state.counters.repeatDecisions[{ route.text, taken ? "sent" : "denied" }];
         if (taken)
             job.attemptedAt = now;
         return taken;
     }
 
+    /// Tells the retry budget how many requests all upstreams of the service get.
+    void observeService(Instant now)
+    {
+        if (now < serviceObservedAt + serviceObservationPeriod)
+            return;
+        serviceObservedAt = now;
+        const auto upstreams = state.directory.usable(state.settings.service);
+        state.retryBudget.recordServiceRequests(
+            state.upstreamSelector.requestsPerSecond(upstreams, now), now);
+    }
+
     /// Returns the repeat of a job that ends before it was sent to the upstream.
     void returnRepeat(const Job& job)
     {
@@ -191,6 +208,8 @@
     {
         const bool failed = response.status >= statusFirstServerError;
         response.hasRefusedCall = releaseSlot(job, response.outcome != HopOutcome::NotRun, failed, now);
+        if (response.reachedUpstream)
+            retryMonitor.recordArrival(response.reason == HopReason::UpstreamShed);
         finish(job, std::move(response));
     }
 
@@ -244,6 +263,7 @@
             return;
         }
         ++state.counters.firstArrivals;
+        retryMonitor.recordRequest();
         job.attemptedAt = now;
         state.retryBudget.recordFirstAttempt(job.request.route, job.request.repeatShare, now);
         state.counters.arrivalsOfRepeatedRuns += job.request.repeatShare;
@@ -516,7 +536,8 @@
     SlotGate gate;
     OverloadController overloadController;
     LocalUpstream localUpstream;
-    RetryRationing retryRationing;
+    ValueRationing repeatRationing;
+    RetryMonitor retryMonitor;
     std::map<JobKey, JobPtr> jobs; // those that wait or run, and ended non-idempotent ones that are retained
     std::size_t openJobs { 0 }; // jobs that wait or run
     std::unordered_map<GateTicket, JobPtr> waiting; // jobs at the gate
@@ -524,6 +545,7 @@
     std::uint32_t arrivals { 0 }; // since the last observation of the overload controller
     GateTicket nextTicket { 1 };
     Instant upstreamDownUntil;
+    Instant serviceObservedAt;
     std::uint32_t slots { 0 };
 };
 
@@ -584,7 +606,10 @@
         service.finishNotRun(job, HopReason::GateFull);
     }
     service.startJobs(service.gate.startDue(now), now);
-    service.retryRationing.update(service.state.retryBudget.repeatsLeft(now), now);
+    service.observeService(now);
+    const double repeatsLeft = service.state.retryBudget.repeatsLeft(now);
+    service.repeatRationing.update({ repeatsLeft, shortestRetryHorizon, longestRetryHorizon }, now);
+    service.retryMonitor.update(repeatsLeft, now);
     service.overloadController.observe(
         service.gate.state(), std::exchange(service.arrivals, 0), service.gate.meanServiceTime(), now);
 }
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -155,8 +155,10 @@
             return nlohmann::json { { "running", load.gate.running }, { "queued", load.gate.queued },
                 { "limit", load.gate.limit }, { "shedShare", load.shedShare },
                 { "holdMs", toMilliseconds(load.meanServiceTime) }, { "accepts", load.acceptsRequests },
-                { "openCalls", m_entry.openCount() }, { "linksUp", m_links.upCount() },
-                { "storeRevision", m_mirror.revision() }, { "storeEra", m_mirror.era() } };
+                { "arrivalsPerS", load.retryLoad.arrivals }, { "rejectedPerS", load.retryLoad.rejections },
+                { "repeatsLeft", load.retryLoad.repeatsLeft }, { "openCalls", m_entry.openCount() },
+                { "linksUp", m_links.upCount() }, { "storeRevision", m_mirror.revision() },
+                { "storeEra", m_mirror.era() } };
         });
     }
 
--- a/test/correctness/RepeatsAreLimitedAtTheUpstreamsNode.cpp
+++ b/test/correctness/RepeatsAreLimitedAtTheUpstreamsNode.cpp
@@ -92,6 +92,31 @@
     CHECK(nesting >= 60);
 }
 
+TEST_CASE(
+    "when load has risen or fallen, repeats are allowed by the window in which the service has most requests")
+{
+    struct Case {
+        Duration loadedFrom;
+        Duration loadedUntil;
+        double countedRequests; // by the operator, in the window that has least
+    };
+    for (const Case& each : { Case { 10s, 20s, 750 }, Case { 0s, 18s, 800 } }) {
+        RetryBudget budget(limits);
+        budget.setUpstreamCount(1000); // leaves out the extra retries
+        for (Duration time = 0s; time < 20s; time += 100ms) {
+            const bool isLoaded = time >= each.loadedFrom && time < each.loadedUntil;
+            budget.recordServiceRequests(isLoaded ? 500 : 0, start + time);
+            for (int i = 0; i < (isLoaded ? 10 : 0); ++i)
+                budget.recordFirstAttempt(route, 0, start + time);
+        }
+        int allowed = 0;
+        while (allowed < 10000 && budget.takeRepeat(route, 0, start + 20s))
+            ++allowed;
+        CHECK(allowed >= 0.8 * limits.ratio * each.countedRequests);
+        CHECK(allowed <= limits.ratio * each.countedRequests);
+    }
+}
+
 TEST_CASE("the more calls a run makes, the fewer of the extra retries are used for it")
 {
     CHECK(allowedRepeats(1, 0, 1) >= allowedRepeats(1, 0, 20));
