--- a/src/coordination/ValueRationing.cpp
+++ b/src/coordination/ValueRationing.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
 #include <utility>
 
 namespace Ebonystack {
@@ -45,7 +44,8 @@
     const double seconds = std::max(toSeconds(elapsed), 1e-3);
     const int topLevel = m_demands.empty() ? 0 : m_demands.rbegin()->first;
     double granted = 0;
-    for (auto& [level, demand] : m_demands | std::views::reverse) {
+    for (auto next = m_demands.rbegin(); next != m_demands.rend(); ++next) {
+        auto& [level, demand] = *next;
         const double sample = std::exchange(demand.wantedSinceUpdate, 0) / seconds;
         demand.wantedPerSecond
             += (sample - demand.wantedPerSecond) * std::min(1.0, seconds / toSeconds(smoothingTime));
