--- a/test/correctness/RejectedRequestsAreOfferedAgain.cpp
+++ b/test/correctness/RejectedRequestsAreOfferedAgain.cpp
@@ -1,5 +1,4 @@
-// A request that upstreams reject without running it is offered again, to as many upstreams as the operator
-// allows, until one takes it, the retry budget is spent or it is too late.
+// A request that upstreams reject without running it is offered again while the operator's limits allow it.
 #include "support/SidecarFixtures.h"
 
 #include <doctest/doctest.h>
--- a/test/correctness/RepeatsGoToTreesOfMostValue.cpp
+++ b/test/correctness/RepeatsGoToTreesOfMostValue.cpp
@@ -1,5 +1,4 @@
-// While upstreams reject more calls than the operator allows repeats for, the repeats go to the call trees
-// that earn most with each, and not to those that ask first.
+// Repeats that are short go to the call trees that earn most with each, and not to those that ask first.
 #include "coordination/ValueRationing.h"
 #include "support/SidecarFixtures.h"
 
