--- a/review/standins.py
+++ b/review/standins.py
@@ -345,6 +345,7 @@
     def __init__(self, deployment, host, name):
         self.deployment, self.host, self.name = deployment, host, name
         self.reader = self.writer = None
+        self.was_closed = False  # the node ended the connection of the last request without an answer
 
     async def connect(self, **options):
         self.reader, self.writer = await asyncio.open_connection(
@@ -363,12 +364,15 @@
         try:
             self.writer.write(message(f'{method} {path} HTTP/1.1', fields, body))
             answer = await asyncio.wait_for(read_message(self.reader), deadline_ms / 1000)
-        except (ConnectionError, asyncio.TimeoutError):
-            answer = None
+            self.was_closed = answer is None
+        except ConnectionError:
+            answer, self.was_closed = None, True
+        except asyncio.TimeoutError:
+            answer, self.was_closed = None, False
         if answer is None or answer[1].get('connection') == 'close':
             self.close()
         record.add(self.name, f'gets {request_id}: ' + (
-            'no answer' if answer is None else f'{answer[0].split()[1]}, {len(answer[2])} bytes'))
+            'no answer, ' + ('connection closed' if self.was_closed else 'deadline') if answer is None else f'{answer[0].split()[1]}, {len(answer[2])} bytes'))
         return answer
 
     def close(self):
