Log what becomes of requests on a new link, and the connection of each request to the upstream

"link up" now names the incarnation of the process and whether the link is the first of its record; "requests open on a new link" and "requests resumed" (ebony_resumed_requests_total) say what both ends made of the requests.

"upstream answered" and "upstream did not answer" now name the connection, and ebony_stray_responses_total counts skipped responses.

No behaviour changes.

--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -710,13 +710,20 @@
 
     void onLinkUp(const VmId& vm, bool sameProcess)
     {
+        const std::vector<CallPtr> open = callsOnVm(vm);
         std::vector<std::uint64_t> hopNumbers;
-        for (const CallPtr& call : callsOnVm(vm)) {
+        for (const CallPtr& call : open) {
             if (sameProcess)
                 hopNumbers.push_back(call->hopNumber);
             else
                 abandonHop(call, vm, "the node process of the VM has restarted");
         }
+        if (!open.empty()) {
+            state.log.state("requests open on a new link", state.now(), [&] {
+                return nlohmann::json { { "vm", vm.text }, { "resumed", hopNumbers.size() },
+                    { "abandoned", open.size() - hopNumbers.size() } };
+            });
+        }
         transport.sendResume(vm, hopNumbers);
     }
 
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -58,6 +58,7 @@
         GateTicket ticket { 0 };
         ExchangeId exchange { 0 }; // 0 while it waits at the gate
         RunId run { 0 }; // 0 unless it runs at the upstream
+        std::uint64_t connection { 0 }; // see UpstreamResult::connection
         std::optional<TimerId> timeout; // set while it runs at the upstream
         bool reachedUpstream { false }; // the request was sent to the upstream
         bool resent { false }; // on another connection
@@ -272,6 +273,7 @@
     void onResult(const JobPtr& job, UpstreamResult result)
     {
         const Instant now = state.now();
+        job->connection = result.connection;
         if (result.kind != UpstreamResult::Kind::NotConnected)
             job->reachedUpstream = true;
         if (mayResend(*job, result, now)) {
@@ -410,8 +412,8 @@
         const auto fields = [&] {
             return nlohmann::json { { "entry", job->origin.vm.text }, { "route", job->request.route.text },
                 { "status", response.status }, { "reason", describe(response.reason) },
-                { "arrived", response.reachedUpstream }, { "rank", job->request.rank },
-                { "repeatShare", job->request.repeatShare },
+                { "arrived", response.reachedUpstream }, { "connection", job->connection },
+                { "rank", job->request.rank }, { "repeatShare", job->request.repeatShare },
                 { "waitedMs", toMilliseconds(response.gateWait) },
                 { "heldMs", started ? toMilliseconds(now - job->startedAt) : 0 },
                 { "running", response.load.gate.running }, { "queued", response.load.gate.queued },
@@ -492,21 +494,35 @@
             if (std::ranges::find(numbers, job->request.number) == numbers.end())
                 cancel(job);
         }
-        for (const std::uint64_t number : numbers) {
-            const JobPtr job = find(origin, number);
-            if (job && !job->ended)
-                continue; // its response is sent when it ends
-            if (job && job->response) {
-                reply(origin, *job->response);
-                continue;
-            }
-            HopResponse response;
-            response.number = number;
-            response.outcome = job ? HopOutcome::OutcomeUnknown : HopOutcome::NotRun;
-            response.reason = job ? HopReason::ConnectionLost : HopReason::UnknownRequest;
-            response.load = load(state.now());
-            reply(origin, std::move(response));
+        std::map<std::string, std::uint64_t> outcomes;
+        for (const std::uint64_t number : numbers)
+            ++outcomes[std::string(resumeOne(origin, number))];
+        if (outcomes.empty())
+            return;
+        for (const auto& [outcome, count] : outcomes)
+            state.counters.resumedRequests[outcome] += count;
+        state.log.state("requests resumed", state.now(), [&] {
+            return nlohmann::json { { "entry", origin.vm.text }, { "outcomes", outcomes } };
+        });
+    }
+
+    /// Returns what the entry node is told, for the metrics.
+    std::string_view resumeOne(const HopOrigin& origin, std::uint64_t number)
+    {
+        const JobPtr job = find(origin, number);
+        if (job && !job->ended)
+            return "running"; // its response is sent when it ends
+        if (job && job->response) {
+            reply(origin, *job->response);
+            return "answered";
         }
+        HopResponse response;
+        response.number = number;
+        response.outcome = job ? HopOutcome::OutcomeUnknown : HopOutcome::NotRun;
+        response.reason = job ? HopReason::ConnectionLost : HopReason::UnknownRequest;
+        response.load = load(state.now());
+        reply(origin, std::move(response));
+        return job ? "outcome unknown" : "not run";
     }
 
     void originLost(const HopOrigin& origin, bool processEnded)
--- a/src/transport/PeerLinks.cpp
+++ b/src/transport/PeerLinks.cpp
@@ -217,7 +217,8 @@
         link->up = true;
         link->backoff = initialBackoff;
         log.state("link up", monotonicNow(), [&] {
-            return nlohmann::json { { "vm", link->vm.text }, { "sameProcess", sameProcess } };
+            return nlohmann::json { { "vm", link->vm.text }, { "sameProcess", sameProcess },
+                { "isFirst", isFirst }, { "incarnation", hello.incarnation } };
         });
         events.onLinkUp(link->vm, sameProcess || isFirst);
         sendHeartbeat(link, monotonicNow());
--- a/src/transport/SidecarMetrics.cpp
+++ b/src/transport/SidecarMetrics.cpp
@@ -53,12 +53,21 @@
         static_cast<std::uint64_t>(counters.arrivalsOfRepeatedRuns)));
     families.push_back(
         makeCounter("ebony_cancelled_total", "Requests whose caller left.", counters.cancelled));
+    MetricFamily resumed = makeMetricFamily("ebony_resumed_requests_total",
+        "Requests that other nodes asked for after a lost link, by what they were told.",
+        MetricType::Counter);
+    for (const auto& [outcome, count] : counters.resumedRequests)
+        addCounter(resumed, { { "outcome", outcome } }, count);
+    families.push_back(std::move(resumed));
     families.push_back(
         makeCounter("ebony_token_asks_total", "Requests for tokens of plans.", counters.tokenRequests));
     families.push_back(
         makeCounter("ebony_store_calls_total", "Calls to the platform's store.", stats.storeCalls));
     families.push_back(makeCounter("ebony_upstream_connections_opened_total",
         "Connections opened to the upstream.", stats.upstreamConnectionsOpened));
+    families.push_back(makeCounter("ebony_stray_responses_total",
+        "Responses of the upstream that were skipped because they belong to no request under way.",
+        stats.strayResponses));
     families.push_back(
         makeGauge("ebony_gate_running", "Requests that run at the upstream.", stats.load.gate.running));
     families.push_back(
--- a/src/transport/SidecarMetrics.h
+++ b/src/transport/SidecarMetrics.h
@@ -16,6 +16,7 @@
     std::size_t callerConnections { 0 };
     std::size_t upstreamConnections { 0 };
     std::uint64_t upstreamConnectionsOpened { 0 };
+    std::uint64_t strayResponses { 0 };
     std::size_t linksUp { 0 };
     std::uint64_t storeCalls { 0 };
     std::size_t openCalls { 0 };
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -39,6 +39,8 @@
     std::uint64_t repeatArrivals { 0 }; ///< requests sent to the upstream again
     double arrivalsOfRepeatedRuns { 0 }; ///< expected number of first arrivals that repeated runs caused
     std::uint64_t cancelled { 0 };
+    std::map<std::string, std::uint64_t>
+        resumedRequests; ///< of other nodes after a lost link, by what they were told
     std::uint64_t tokenRequests { 0 };
     std::map<std::string, LatencyHistogram> responseTimes; ///< of delivered responses, by route
     std::map<std::string, LatencyHistogram> gateWaits; ///< by route
--- a/src/transport/UpstreamConnectionPool.cpp
+++ b/src/transport/UpstreamConnectionPool.cpp
@@ -55,6 +55,7 @@
         {
         }
 
+        std::uint64_t number { 0 }; // since the start
         std::shared_ptr<ByteStream> stream;
         std::optional<ResponseParser> parser; // while an exchange is under way
         std::string input;
@@ -104,9 +105,9 @@
                 if (self->connecting.erase(exchange) == 0)
                     return; // aborted
                 if (!stream)
-                    return done({ UpstreamResult::Kind::NotConnected, {}, true, false });
-                ++self->opened;
+                    return done({ UpstreamResult::Kind::NotConnected, {}, true });
                 auto connection = std::make_shared<Connection>(self->budget);
+                connection->number = ++self->opened;
                 connection->stream = std::move(stream);
                 self->listen(connection);
                 self->begin(connection, exchange, std::move(request), std::move(done));
@@ -153,8 +154,10 @@
             const bool isInterim = response.head.status < 200;
             if (!isInterim && !isStray(*connection, response))
                 return onResponse(connection, std::move(response));
-            if (!isInterim)
+            if (!isInterim) {
                 connection->hadStrayResponse = true;
+                ++strayResponses;
+            }
             int& skipped = isInterim ? connection->interimResponses : connection->strayResponses;
             if (++skipped > (isInterim ? maxInterimResponses : maxStrayResponses))
                 return finish(connection, UpstreamResult::Kind::Invalid, {}, false);
@@ -197,7 +200,7 @@
     {
         const Callback done = std::move(connection->done);
         UpstreamResult result { kind, std::move(response), !connection->hasReceivedBytes,
-            connection->hasServedRequest };
+            connection->hasServedRequest, connection->number };
         active.erase(connection->exchange);
         connection->exchange = 0;
         connection->done = nullptr;
@@ -253,7 +256,8 @@
     std::unordered_map<ExchangeId, ConnectionPtr> active;
     std::unordered_set<ExchangeId> connecting;
     ExchangeId nextExchange { 1 };
-    std::uint64_t opened { 0 };
+    std::uint64_t opened { 0 }; // connections since the start
+    std::uint64_t strayResponses { 0 };
 };
 
 UpstreamConnectionPool::UpstreamConnectionPool(
@@ -312,4 +316,6 @@
 
 std::uint64_t UpstreamConnectionPool::openedCount() const { return m_internals->opened; }
 
+std::uint64_t UpstreamConnectionPool::strayResponseCount() const { return m_internals->strayResponses; }
+
 } // namespace Ebonystack
--- a/src/transport/UpstreamConnectionPool.h
+++ b/src/transport/UpstreamConnectionPool.h
@@ -37,6 +37,8 @@
     std::size_t heldBytes() const;
     /// The number of connections opened since the start.
     std::uint64_t openedCount() const;
+    /// The number of responses that were skipped because they belong to no request under way.
+    std::uint64_t strayResponseCount() const;
 
 private:
     class Internals;
--- a/src/transport/UpstreamTransport.h
+++ b/src/transport/UpstreamTransport.h
@@ -22,6 +22,7 @@
     HttpResponse response;
     bool nothingReceived { false }; ///< no byte of a response was received
     bool reused { false }; ///< the connection had carried an earlier request
+    std::uint64_t connection { 0 }; ///< number of the connection since the start, for logs; 0: none
 
     auto operator<=>(const UpstreamResult&) const = default;
 };
