Resume requests only at the process that they were sent to

Non-idempotent requests that its upstream had begun to run are run again by another upstream, or refused with 503, which promises that they did not run.

Cause: an entry node keeps such a request when the link is lost and asks for it on the next link. Whether that link leads to the same process was decided by PeerLinks, from an incarnation kept with the link. The link goes when the record lapses, and the next one counted as "the first, so the same process". The new process had no record of the requests and said "not run".

Change: each dispatch remembers the incarnation of the process that it was sent to, so nothing has to outlive the link, and a request is resumed at exactly that process, else its outcome is unknown. A resume frame names that process too: a node says "not run" for a number without a record only if the request was sent to itself. Nodes of the version before don't name it and are told that the outcome is unknown. The same process behind a new link is still resumed, which the incarnation of a link could not tell once the link was gone.

--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -203,7 +203,7 @@
 }
 
 Json encode(const HopCancel& frame) { return Json::array({ frame.number }); }
-Json encode(const HopResume& frame) { return Json::array({ frame.numbers }); }
+Json encode(const HopResume& frame) { return Json::array({ frame.numbers, encodeOptional(frame.process) }); }
 Json encode(const StoreChangesRequest& frame)
 {
     return Json::array({ frame.since, encodeOptional(frame.era) });
@@ -298,7 +298,15 @@
 }
 
 PeerFrame decodeCancel(const Json& json) { return HopCancel { json.at(0) }; }
-PeerFrame decodeResume(const Json& json) { return HopResume { json.at(0) }; }
+
+PeerFrame decodeResume(const Json& json)
+{
+    HopResume resume { json.at(0), std::nullopt };
+    if (json.size() > 1 && !json.at(1).is_null())
+        resume.process = json.at(1).get<std::uint64_t>();
+    return resume;
+}
+
 PeerFrame decodeStoreChangesRequest(const Json& json)
 {
     return StoreChangesRequest { json.at(0), decodeEra(json, 1) };
--- a/src/protocol/PeerFrame.h
+++ b/src/protocol/PeerFrame.h
@@ -123,9 +123,12 @@
 };
 
 /// Sent when a lost link is up again: the requests that the entry node still waits for. The receiving node
-/// cancels the entry node's other requests, and responds with NotRun to numbers that it does not know.
+/// cancels the entry node's other requests. It responds with NotRun to numbers that it does not know if they
+/// were sent to its own process, else with OutcomeUnknown.
 struct HopResume {
     std::vector<std::uint64_t> numbers;
+    std::optional<std::uint64_t>
+        process; ///< incarnation of the process that they were sent to; optional on the wire
 
     auto operator<=>(const HopResume&) const = default;
 };
--- a/src/transport/EntryCall.h
+++ b/src/transport/EntryCall.h
@@ -49,6 +49,7 @@
     bool wasRefused { false }; ///< a node refused to run it, or to run a nested call below it
     std::uint64_t hopNumber { 0 }; ///< of the hop request without a response; 0: none
     VmId hopVm; ///< of the last dispatch
+    std::uint64_t hopProcess { 0 }; ///< incarnation of the node process that the last dispatch was sent to
     std::optional<HopResponse> lastFailure; ///< a server error, delivered if no retry succeeds
     std::optional<TimerId> timer; ///< for the deadline, set at the first dispatch
 };
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -384,6 +384,7 @@
         const VmId vm = chosen->record.vm;
         call->hopNumber = request.number;
         call->hopVm = vm;
+        call->hopProcess = transport.processAt(vm).value_or(0);
         ++call->dispatches;
         callsByHop[request.number] = call->id;
         state.upstreamSelector.requestStarted(vm);
@@ -708,12 +709,12 @@
         }
     }
 
-    void onLinkUp(const VmId& vm, bool sameProcess)
+    void onLinkUp(const VmId& vm, std::uint64_t process)
     {
         const std::vector<CallPtr> open = callsOnVm(vm);
         std::vector<std::uint64_t> hopNumbers;
         for (const CallPtr& call : open) {
-            if (sameProcess)
+            if (call->hopProcess == process)
                 hopNumbers.push_back(call->hopNumber);
             else
                 abandonHop(call, vm, "the node process of the VM has restarted");
@@ -724,7 +725,7 @@
                     { "abandoned", open.size() - hopNumbers.size() } };
             });
         }
-        transport.sendResume(vm, hopNumbers);
+        transport.sendResume(vm, { hopNumbers, process });
     }
 
     void abandonHop(const CallPtr& call, const VmId& vm, std::string_view reason)
@@ -803,7 +804,7 @@
     m_internals->onResponse(vm, std::move(response));
 }
 
-void EntryService::onLinkUp(const VmId& vm, bool sameProcess) { m_internals->onLinkUp(vm, sameProcess); }
+void EntryService::onLinkUp(const VmId& vm, std::uint64_t process) { m_internals->onLinkUp(vm, process); }
 
 void EntryService::onLinkDown(const VmId& vm) { m_internals->onLinkDown(vm); }
 
--- a/src/transport/EntryService.h
+++ b/src/transport/EntryService.h
@@ -28,8 +28,9 @@
 
     /// Takes the response of a VM's node to a hop request.
     void onResponse(const VmId&, HopResponse);
-    /// `sameProcess`: the link leads to the process that this node was linked to before.
-    void onLinkUp(const VmId&, bool sameProcess);
+    /// `process`: the incarnation of the node process that the link leads to. Requests that were sent to an
+    /// earlier one may have run there.
+    void onLinkUp(const VmId&, std::uint64_t process);
     void onLinkDown(const VmId&);
     void onTokenResponse(const TokenResponse&);
 
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -488,7 +488,7 @@
         return found;
     }
 
-    void resume(const HopOrigin& origin, const std::vector<std::uint64_t>& numbers)
+    void resume(const HopOrigin& origin, const std::vector<std::uint64_t>& numbers, bool wereSentHere)
     {
         for (const JobPtr& job : jobsOf(origin)) {
             if (std::ranges::find(numbers, job->request.number) == numbers.end())
@@ -496,7 +496,7 @@
         }
         std::map<std::string, std::uint64_t> outcomes;
         for (const std::uint64_t number : numbers)
-            ++outcomes[std::string(resumeOne(origin, number))];
+            ++outcomes[std::string(resumeOne(origin, number, wereSentHere))];
         if (outcomes.empty())
             return;
         for (const auto& [outcome, count] : outcomes)
@@ -507,7 +507,7 @@
     }
 
     /// Returns what the entry node is told, for the metrics.
-    std::string_view resumeOne(const HopOrigin& origin, std::uint64_t number)
+    std::string_view resumeOne(const HopOrigin& origin, std::uint64_t number, bool wasSentHere)
     {
         const JobPtr job = find(origin, number);
         if (job && !job->ended)
@@ -516,13 +516,14 @@
             reply(origin, *job->response);
             return "answered";
         }
+        const bool neverArrived = !job && wasSentHere;
         HopResponse response;
         response.number = number;
-        response.outcome = job ? HopOutcome::OutcomeUnknown : HopOutcome::NotRun;
+        response.outcome = neverArrived ? HopOutcome::NotRun : HopOutcome::OutcomeUnknown;
         response.reason = job ? HopReason::ConnectionLost : HopReason::UnknownRequest;
         response.load = load(state.now());
         reply(origin, std::move(response));
-        return job ? "outcome unknown" : "not run";
+        return neverArrived ? "not run" : "outcome unknown";
     }
 
     void originLost(const HopOrigin& origin, bool processEnded)
@@ -583,10 +584,10 @@
         m_internals->cancel(job);
 }
 
-void HopService::resume(const HopOrigin& origin, const std::vector<std::uint64_t>& numbers)
+void HopService::resume(const HopOrigin& origin, const std::vector<std::uint64_t>& numbers, bool wereSentHere)
 {
     m_internals->originLostAt.erase(origin);
-    m_internals->resume(origin, numbers);
+    m_internals->resume(origin, numbers, wereSentHere);
 }
 
 void HopService::originLost(const HopOrigin& origin, bool processEnded)
--- a/src/transport/PeerLinks.cpp
+++ b/src/transport/PeerLinks.cpp
@@ -211,16 +211,15 @@
     void onHelloResponse(const OutgoingLinkPtr& link, const LinkHello& hello)
     {
         const bool sameProcess = link->peerIncarnation == hello.incarnation;
-        const bool isFirst = link->peerIncarnation == 0;
         link->peerIncarnation = hello.incarnation;
         link->peerFrameLimit = hello.frameLimit;
         link->up = true;
         link->backoff = initialBackoff;
         log.state("link up", monotonicNow(), [&] {
             return nlohmann::json { { "vm", link->vm.text }, { "sameProcess", sameProcess },
-                { "isFirst", isFirst }, { "incarnation", hello.incarnation } };
+                { "incarnation", hello.incarnation } };
         });
-        events.onLinkUp(link->vm, sameProcess || isFirst);
+        events.onLinkUp(link->vm, hello.incarnation);
         sendHeartbeat(link, monotonicNow());
     }
 
@@ -299,7 +298,7 @@
                         },
                 [&](HopRequest& request) { events.onRequest(origin, std::move(request)); },
                 [&](HopCancel& cancel) { events.onCancel(origin, cancel.number); },
-                [&](HopResume& resume) { events.onResume(origin, resume.numbers); },
+                [&](HopResume& resume) { events.onResume(origin, resume); },
                 [&](StoreChangesRequest& request) {
                     link->stream->write(encodeFrame(events.storeChanges(request)));
                 },
@@ -405,10 +404,13 @@
     }
 }
 
-bool PeerLinks::isUp(const VmId& vm) const
+bool PeerLinks::isUp(const VmId& vm) const { return processAt(vm).has_value(); }
+
+std::optional<std::uint64_t> PeerLinks::processAt(const VmId& vm) const
 {
     const auto found = m_internals->outgoing.find(vm);
-    return found != m_internals->outgoing.end() && found->second->up;
+    const bool up = found != m_internals->outgoing.end() && found->second->up;
+    return up ? std::optional(found->second->peerIncarnation) : std::nullopt;
 }
 
 std::size_t PeerLinks::upCount() const
--- a/src/transport/PeerLinks.h
+++ b/src/transport/PeerLinks.h
@@ -11,6 +11,7 @@
 #include <compare>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace Ebonystack {
@@ -32,9 +33,8 @@
     virtual void onHeartbeat(const VmId&, const LinkHeartbeat&) = 0;
 
     // Called on the entry node, which opened the link.
-    /// The link to a VM is up. `sameProcess`: the process is the one of the previous link, or this is the
-    /// first link to the VM.
-    virtual void onLinkUp(const VmId&, bool sameProcess) = 0;
+    /// The link to a VM is up. `process`: the incarnation of the process that it leads to.
+    virtual void onLinkUp(const VmId&, std::uint64_t process) = 0;
     virtual void onLinkDown(const VmId&) = 0;
     virtual void onResponse(const VmId&, HopResponse) = 0;
     virtual void onStoreChanges(const StoreChangesResponse&) = 0;
@@ -43,7 +43,7 @@
     // Called on the upstream's node, which accepted the link.
     virtual void onRequest(const HopOrigin&, HopRequest) = 0;
     virtual void onCancel(const HopOrigin&, std::uint64_t number) = 0;
-    virtual void onResume(const HopOrigin&, const std::vector<std::uint64_t>& numbers) = 0;
+    virtual void onResume(const HopOrigin&, const HopResume&) = 0;
     /// The link from an origin has ended. `processEnded`: a new process of the same VM has connected.
     virtual void onOriginLost(const HopOrigin&, bool processEnded) = 0;
     virtual void onStoreChangesPush(const VmId&, const StoreChangesPush&) = 0;
@@ -70,6 +70,8 @@
     void sendHeartbeats(Instant now);
 
     bool isUp(const VmId&) const;
+    /// The incarnation of the process that the link to a VM leads to; nothing while it is not up.
+    std::optional<std::uint64_t> processAt(const VmId&) const;
     std::size_t upCount() const;
     /// Sends to the node of a VM. Returns false if the link to it is not up, or the frame exceeds the node's
     /// limit.
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -326,7 +326,7 @@
             vm, { heartbeat.storeEra.value_or(m_mirror.era()), heartbeat.storeRevision }, now);
     }
 
-    void onLinkUp(const VmId& vm, bool sameProcess) override { m_entry.onLinkUp(vm, sameProcess); }
+    void onLinkUp(const VmId& vm, std::uint64_t process) override { m_entry.onLinkUp(vm, process); }
     void onLinkDown(const VmId& vm) override { m_entry.onLinkDown(vm); }
     void onResponse(const VmId& vm, HopResponse response) override
     {
@@ -349,9 +349,9 @@
         m_hop.request(origin, std::move(request));
     }
     void onCancel(const HopOrigin& origin, std::uint64_t number) override { m_hop.cancel(origin, number); }
-    void onResume(const HopOrigin& origin, const std::vector<std::uint64_t>& numbers) override
+    void onResume(const HopOrigin& origin, const HopResume& resume) override
     {
-        m_hop.resume(origin, numbers);
+        m_hop.resume(origin, resume.numbers, resume.process == m_localOrigin.incarnation);
     }
     void onOriginLost(const HopOrigin& origin, bool processEnded) override
     {
@@ -367,7 +367,12 @@
 
     // NodeTransport.
 
-    bool canReach(const VmId& vm) const override { return vm == m_localOrigin.vm || m_links.isUp(vm); }
+    bool canReach(const VmId& vm) const override { return processAt(vm).has_value(); }
+
+    std::optional<std::uint64_t> processAt(const VmId& vm) const override
+    {
+        return vm == m_localOrigin.vm ? m_localOrigin.incarnation : m_links.processAt(vm);
+    }
 
     bool sendRequest(const VmId& vm, HopRequest request) override
     {
@@ -386,10 +391,7 @@
             m_links.send(vm, HopCancel { number });
     }
 
-    void sendResume(const VmId& vm, const std::vector<std::uint64_t>& numbers) override
-    {
-        m_links.send(vm, HopResume { numbers });
-    }
+    void sendResume(const VmId& vm, const HopResume& resume) override { m_links.send(vm, resume); }
 
     bool requestTokens(const VmId& owner, const TokenRequest& request) override
     {
--- a/test/correctness/EntryServiceRespondsExactlyOnce.cpp
+++ b/test/correctness/EntryServiceRespondsExactlyOnce.cpp
@@ -131,7 +131,7 @@
     const SentRequest nonIdempotent = fixture.transport.sent.back();
     fixture.entry.onLinkDown(nonIdempotent.vm);
     CHECK(fixture.responses.size() == 1);
-    fixture.entry.onLinkUp(nonIdempotent.vm, true);
+    fixture.entry.onLinkUp(nonIdempotent.vm, fixture.transport.process);
     CHECK(fixture.transport.resumed == std::vector { nonIdempotent.request.number });
     fixture.respond(HopOutcome::Responded, 200);
     CHECK(fixture.responses.size() == 2);
@@ -142,7 +142,7 @@
     EntryServiceFixture fixture;
     fixture.begin("/order/1");
     const VmId vm = fixture.transport.sent.back().vm;
-    fixture.entry.onLinkUp(vm, false);
+    fixture.entry.onLinkUp(vm, fixture.transport.process + 1);
     REQUIRE(fixture.responses.size() == 1);
     CHECK(fixture.responses[0].head.status == 502);
 }
--- a/test/correctness/HopServiceReportsExecution.cpp
+++ b/test/correctness/HopServiceReportsExecution.cpp
@@ -31,11 +31,11 @@
     fixture.runUntil([&] { return fixture.hop.openCount() == 0; });
     REQUIRE(fixture.upstream.requests().size() == 1);
     fixture.linkUp = true;
-    fixture.hop.resume(fixture.origin, { 1 });
+    fixture.hop.resume(fixture.origin, { 1 }, true);
     REQUIRE(fixture.responses.size() == 1);
     CHECK(fixture.responses[0].outcome == HopOutcome::Responded);
     fixture.state.timers.advance(fixture.state.now() + std::chrono::seconds(20));
-    fixture.hop.resume(fixture.origin, { 1 });
+    fixture.hop.resume(fixture.origin, { 1 }, true);
     REQUIRE(fixture.responses.size() == 2);
     CHECK(fixture.responses[1].outcome == HopOutcome::OutcomeUnknown);
 }
@@ -43,11 +43,19 @@
 TEST_CASE("a resumed request that never arrived is reported as not run")
 {
     HopServiceFixture fixture(makeValidResponse);
-    fixture.hop.resume(fixture.origin, { 5 });
+    fixture.hop.resume(fixture.origin, { 5 }, true);
     REQUIRE(fixture.responses.size() == 1);
     CHECK(fixture.responses[0].outcome == HopOutcome::NotRun);
 }
 
+TEST_CASE("a resumed request that was sent to an earlier process of the node is not reported as not run")
+{
+    HopServiceFixture fixture(makeValidResponse);
+    fixture.hop.resume(fixture.origin, { 5 }, false);
+    REQUIRE(fixture.responses.size() == 1);
+    CHECK(fixture.responses[0].outcome == HopOutcome::OutcomeUnknown);
+}
+
 TEST_CASE("a non-idempotent request whose connection is lost has an unknown outcome and is not sent again")
 {
     HopServiceFixture fixture([](const HttpRequest&) { return ScriptedResponse { "", true }; });
--- a/test/correctness/LinksRejectUnboundedFrames.cpp
+++ b/test/correctness/LinksRejectUnboundedFrames.cpp
@@ -19,14 +19,14 @@
 public:
     LinkHeartbeat localHeartbeat() const override { return {}; }
     void onHeartbeat(const VmId&, const LinkHeartbeat&) override { ++heartbeats; }
-    void onLinkUp(const VmId&, bool) override { }
+    void onLinkUp(const VmId&, std::uint64_t) override { }
     void onLinkDown(const VmId&) override { }
     void onResponse(const VmId&, HopResponse) override { }
     void onStoreChanges(const StoreChangesResponse&) override { }
     void onTokenResponse(const TokenResponse&) override { }
     void onRequest(const HopOrigin&, HopRequest) override { }
     void onCancel(const HopOrigin&, std::uint64_t) override { }
-    void onResume(const HopOrigin&, const std::vector<std::uint64_t>&) override { }
+    void onResume(const HopOrigin&, const HopResume&) override { }
     void onOriginLost(const HopOrigin&, bool) override { ++lostOrigins; }
     void onStoreChangesPush(const VmId&, const StoreChangesPush&) override { }
     StoreChangesResponse storeChanges(const StoreChangesRequest&) const override { return {}; }
--- a/test/correctness/SlotsAreReleasedWithoutResponse.cpp
+++ b/test/correctness/SlotsAreReleasedWithoutResponse.cpp
@@ -55,7 +55,7 @@
     fixture.hop.request(fixture.origin, HopServiceFixture::makeRequest(1, false));
     fixture.runUntil([&] { return fixture.upstream.requests().size() == 1; });
     fixture.state.timers.advance(fixture.state.now() + requestTime + releaseTime);
-    fixture.hop.resume(fixture.origin, { 1 });
+    fixture.hop.resume(fixture.origin, { 1 }, true);
     REQUIRE(fixture.responses.size() == 2);
     CHECK(fixture.responses[1].outcome == HopOutcome::OutcomeUnknown);
     CHECK(fixture.upstream.requests().size() == 1);
--- a/test/fuzz/PeerFramesHandleMalformedInput.cpp
+++ b/test/fuzz/PeerFramesHandleMalformedInput.cpp
@@ -41,7 +41,7 @@
     return { LinkHello { { "10.0.0.1" }, 99 }, LinkHeartbeat { response.load, 5, false, 1.5 },
         LinkHeartbeat { response.load, 5, true, std::nullopt },
         LinkHeartbeat { response.load, 5, true, std::nullopt, 3 }, request, response, HopCancel { 7 },
-        HopResume { { 1, 2 } }, StoreChangesRequest { 4, 2 },
+        HopResume { { 1, 2 }, 3 }, HopResume { { 1 }, std::nullopt }, StoreChangesRequest { 4, 2 },
         StoreChangesResponse { { 4, 6, { { "k", 5, "v" }, { "l", 6, std::nullopt } }, { { "m" } }, 2 } },
         TokenRequest { 1, { "team" }, 3 }, TokenResponse { 1, 2, 5ms },
         StoreChangesPush { { 4, 6, { { "k", 5, "v" }, { "l", 6, std::nullopt } }, std::nullopt } } };
--- a/test/support/SidecarFixtures.h
+++ b/test/support/SidecarFixtures.h
@@ -36,7 +36,8 @@
         return true;
     }
     void sendCancel(const VmId&, std::uint64_t number) override { cancelled.push_back(number); }
-    void sendResume(const VmId&, const std::vector<std::uint64_t>& numbers) override { resumed = numbers; }
+    std::optional<std::uint64_t> processAt(const VmId&) const override { return process; }
+    void sendResume(const VmId&, const HopResume& resume) override { resumed = resume.numbers; }
     bool requestTokens(const VmId&, const TokenRequest& request) override
     {
         tokenRequests.push_back(request);
@@ -47,6 +48,7 @@
     std::vector<std::uint64_t> cancelled;
     std::vector<std::uint64_t> resumed;
     std::vector<TokenRequest> tokenRequests;
+    std::uint64_t process { 1 }; // incarnation of the node of every VM
     std::vector<VmId> unreachable;
     std::vector<VmId> rejecting; // their nodes accept no request of this size
     bool ownerReachable { true };
--- a/tools/lab/SimulatedNode.cpp
+++ b/tools/lab/SimulatedNode.cpp
@@ -58,6 +58,11 @@
 
 bool SimulatedNode::canReach(const VmId& vm) const { return m_fleet.isUp(vm); }
 
+std::optional<std::uint64_t> SimulatedNode::processAt(const VmId& vm) const
+{
+    return canReach(vm) ? std::optional<std::uint64_t>(1) : std::nullopt;
+}
+
 bool SimulatedNode::sendRequest(const VmId& vm, HopRequest request)
 {
     m_fleet.deliver(
--- a/tools/lab/SimulatedNode.h
+++ b/tools/lab/SimulatedNode.h
@@ -49,8 +49,9 @@
     bool canReach(const VmId&) const override;
     bool sendRequest(const VmId&, HopRequest) override;
     void sendCancel(const VmId&, std::uint64_t number) override;
+    std::optional<std::uint64_t> processAt(const VmId&) const override;
     /// Does nothing, since simulated links never reconnect.
-    void sendResume(const VmId&, const std::vector<std::uint64_t>&) override { }
+    void sendResume(const VmId&, const HopResume&) override { }
     bool requestTokens(const VmId& owner, const TokenRequest&) override;
 
 private:
