Keep the record of a non-idempotent request until its entry node can't ask for it any more

What callers could see: on a route whose timeout exceeds a minute, a request whose response was lost with a link runs twice, or is refused with 503 though it ran.

The record was dropped 60 s after the request had ended, on the ground that no entry node waits longer; that holds only for routes without a timeout. Entry nodes wait until the deadline, which the operator's timeout and the caller set.

Change: the record stays for 60 s after the deadline. As it now stays longer, it keeps only the number, not the fields and the body of the request.

Test: HopServiceReportsExecution, a request with ten minutes left, asked for after nine.

--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -34,7 +34,8 @@
 constexpr Duration resumeTimeout = 1200ms;
 /// How long responses to non-idempotent requests are kept: one may have been lost with a failing link.
 constexpr Duration responseRetention = 5s;
-/// How long the record of a non-idempotent request is kept: no entry node waits longer for a response.
+/// How long after its deadline the record of a non-idempotent request is kept. Its entry node may ask for it
+/// until then; without a record the answer would be that it has not run.
 constexpr Duration outcomeRetention = 60s;
 constexpr Duration serviceObservationPeriod = 250ms;
 /// Time for which the repeats that are left should last, see RationedSupply.
@@ -434,13 +435,16 @@
     void retainOutcome(const JobPtr& job, const HopResponse& response)
     {
         job->response = response;
-        job->request.body.clear();
+        HopRequest kept;
+        kept.number = job->request.number;
+        job->request = std::move(kept);
         const Instant now = state.now();
         state.timers.at(now + responseRetention, [job](Instant) { job->response.reset(); });
-        state.timers.at(now + outcomeRetention, [weak = weak_from_this(), job](Instant) {
-            if (const auto self = weak.lock())
-                self->jobs.erase({ job->origin, job->request.number });
-        });
+        state.timers.at(
+            std::max(now, job->deadline) + outcomeRetention, [weak = weak_from_this(), job](Instant) {
+                if (const auto self = weak.lock())
+                    self->jobs.erase({ job->origin, job->request.number });
+            });
     }
 
     /// Ends a job. The job of a non-idempotent request that reached the upstream stays for `resume`.
--- a/test/correctness/HopServiceReportsExecution.cpp
+++ b/test/correctness/HopServiceReportsExecution.cpp
@@ -40,6 +40,22 @@
     CHECK(fixture.responses[1].outcome == HopOutcome::OutcomeUnknown);
 }
 
+// Guards against running a request again whose record was dropped before its deadline.
+TEST_CASE("a request that ran is not reported as not run while its entry node may still wait for it")
+{
+    HopServiceFixture fixture(makeValidResponse);
+    HopRequest request = HopServiceFixture::makeRequest(1, false);
+    request.remainingTime = std::chrono::minutes(10);
+    fixture.linkUp = false;
+    fixture.hop.request(fixture.origin, std::move(request));
+    fixture.runUntil([&] { return fixture.hop.openCount() == 0; });
+    fixture.state.timers.advance(fixture.state.now() + std::chrono::minutes(9));
+    fixture.linkUp = true;
+    fixture.hop.resume(fixture.origin, { 1 }, true);
+    REQUIRE(fixture.responses.size() == 1);
+    CHECK(fixture.responses[0].outcome == HopOutcome::OutcomeUnknown);
+}
+
 TEST_CASE("a resumed request that never arrived is reported as not run")
 {
     HopServiceFixture fixture(makeValidResponse);
