Give an entry node the whole resume time after each loss of its link

What callers could see: a request is cancelled, or its response not delivered (504 at the deadline), up to 1.2 s before the entry node has lost its claim to it.

The timer that cancels the requests of a lost link only asked whether its entry node is without a link now. When the link was resumed and lost again within 1.2 s, the timer of the first loss cancelled the requests of the second. An origin that never came back also stayed in the table for ever.

Change: the timer acts only for its own loss, and removes the origin.

Test: HopServiceReportsExecution, two losses 1 s apart. Before: no request open 1 s after the second loss, expected one.

--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -535,20 +535,25 @@
         const std::vector<JobPtr> lost = jobsOf(origin);
         if (lost.empty())
             return;
-        const auto cancelLost = [weak = weak_from_this(), lost, origin](Instant) {
+        const Instant lostAt = state.now();
+        const auto cancelLost = [weak = weak_from_this(), lost, origin, lostAt](Instant) {
             const auto self = weak.lock();
-            if (!self || !self->originLostAt.contains(origin))
-                return; // resumed
+            if (!self)
+                return;
+            const auto found = self->originLostAt.find(origin);
+            if (found == self->originLostAt.end() || found->second != lostAt)
+                return; // resumed; the link may have been lost again since
+            self->originLostAt.erase(found);
             for (const JobPtr& job : lost) {
                 if (self->find(origin, job->request.number) == job)
                     self->cancel(job);
             }
         };
-        originLostAt[origin] = state.now();
+        originLostAt[origin] = lostAt;
         if (processEnded)
-            cancelLost(state.now());
+            cancelLost(lostAt);
         else
-            state.timers.at(state.now() + resumeTimeout, cancelLost);
+            state.timers.at(lostAt + resumeTimeout, cancelLost);
     }
 
     SidecarState& state;
@@ -562,7 +567,8 @@
     std::map<JobKey, JobPtr> jobs; // those that wait or run, and ended non-idempotent ones that are retained
     std::size_t openJobs { 0 }; // jobs that wait or run
     std::unordered_map<GateTicket, JobPtr> waiting; // jobs at the gate
-    std::map<HopOrigin, Instant> originLostAt; // origins with jobs that lost their link and have not resumed
+    std::map<HopOrigin, Instant>
+        originLostAt; // origins with jobs that lost their link, until they resume or their jobs are cancelled
     std::uint32_t arrivals { 0 }; // since the last observation of the overload controller
     GateTicket nextTicket { 1 };
     Instant upstreamDownUntil;
--- a/test/correctness/HopServiceReportsExecution.cpp
+++ b/test/correctness/HopServiceReportsExecution.cpp
@@ -219,3 +219,27 @@
     CHECK(fixture.responses.at(1).outcome == HopOutcome::NotRun);
     CHECK(fixture.responses.at(1).reason == HopReason::NodeLeaving);
 }
+
+// Guards against cancelling the requests of a link that was lost again because of the loss before.
+TEST_CASE("an entry node has the whole resume time after each loss of its link")
+{
+    HopServiceFixture fixture([](const HttpRequest&) { return ScriptedResponse { "", false, true }; });
+    Instant now = fixture.state.now();
+    fixture.state.clock = [&] { return now; };
+    HopRequest request = HopServiceFixture::makeRequest(1, true);
+    request.remainingTime = std::chrono::seconds(20);
+    fixture.hop.request(fixture.origin, std::move(request));
+    fixture.runUntil([&] { return fixture.upstream.requests().size() == 1; });
+    const auto advance = [&](std::chrono::milliseconds time) {
+        now += time;
+        fixture.state.timers.advance(now);
+    };
+    fixture.hop.originLost(fixture.origin, false);
+    advance(std::chrono::milliseconds(1000));
+    fixture.hop.resume(fixture.origin, { 1 }, true);
+    fixture.hop.originLost(fixture.origin, false);
+    advance(std::chrono::milliseconds(1000));
+    CHECK(fixture.hop.openCount() == 1);
+    advance(std::chrono::milliseconds(500));
+    CHECK(fixture.hop.openCount() == 0);
+}
