Soak: lose VMs until their record has lapsed, and orders that outlast the loss

A lost VM loses its upstream's running work and its record, and is back after 0.5 to 3.5 s; one order in two takes the upstream 0.5 to 1.5 s and may take 5 s.

--- a/test/soak/SoakFakes.cpp
+++ b/test/soak/SoakFakes.cpp
@@ -223,8 +223,9 @@
     ++m_observations.executions[id];
     checkArrival(id);
     const bool lost = m_random.below(requestsPerLostConnection) == 0;
+    const bool isSlow = request.head.target.starts_with(slowPath);
     auto timer = std::make_shared<boost::asio::steady_timer>(
-        m_io, std::chrono::milliseconds(3 + m_random.below(40)));
+        m_io, std::chrono::milliseconds(isSlow ? 500 + m_random.below(1000) : 3 + m_random.below(40)));
     timer->async_wait([this, timer, respond = std::move(respond), id, lost](
                           const boost::system::error_code&) {
         respond(lost
--- a/test/soak/SoakFakes.h
+++ b/test/soak/SoakFakes.h
@@ -97,6 +97,9 @@
     std::vector<std::string> violations;
 };
 
+/// Requests on this path take the upstream about a second.
+constexpr auto slowPath = "/s/";
+
 /// An upstream that responds after a random time, or at random, for one request in 200 on average, closes the
 /// connection instead.
 class FakeUpstream {
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -1,6 +1,6 @@
 // A soak of real sidecar processes on loopback under random faults that a seed determines. The processes are
-// killed, paused, stopped, restarted and told to reload; the store goes down, comes back from an old copy,
-// leaves watches unanswered and changes its configuration;
+// killed, paused, stopped, restarted and told to reload; VMs are lost until their record has lapsed; the
+// store goes down, comes back from an old copy, leaves watches unanswered and changes its configuration;
 // upstreams close connections. Faults follow each other or overlap. The run fails unless all of this holds:
 // - a success has the sealed and complete response of an upstream that ran the request
 // - a non-idempotent request runs at most once, and not at all when its refusal says so
@@ -44,7 +44,11 @@
 constexpr double minServedShare = 0.9; // of these reads
 constexpr auto requestInterval = 8ms;
 constexpr auto restartPeriod = 100ms; // in the recovery time
-constexpr auto callerTimeout = 1500ms;
+constexpr int callerDeadline = 1400; // ms
+constexpr int slowOrderDeadline = 5000; // ms; longer than a VM is lost
+constexpr auto callerTimeoutSlack = 100ms; // after the deadline
+constexpr auto shortestVmLoss = 500ms;
+constexpr int longestVmLoss = 3000; // ms
 constexpr int callerPort = 21000;
 constexpr int peerPort = 21001;
 constexpr int readyPort = 21002;
@@ -89,7 +93,7 @@
         m_checking = true;
         runFor(checkedTime);
         m_sending = false;
-        runFor(callerTimeout + 500ms);
+        runFor(std::chrono::milliseconds(slowOrderDeadline) + callerTimeoutSlack + 500ms);
         checkInvariants();
         report();
         return m_observations.violations.empty();
@@ -114,9 +118,9 @@
 
     void writeConfig()
     {
-        const auto route = [](const char* kind, const char* prefix) {
+        const auto route = [](const char* kind, const char* prefix, const char* timeout = "1000ms") {
             return nlohmann::json { { "host", "example" }, { "path_prefix", prefix }, { "route_kind", kind },
-                { "timeout", "1000ms" }, { "target_latency", "500ms" }, { "priority", 1 },
+                { "timeout", timeout }, { "target_latency", "500ms" }, { "priority", 1 },
                 { "service", "registry" }, { "max_attempts", 2 } };
         };
         char version[16];
@@ -125,6 +129,7 @@
             nlohmann::json { { "version", version },
                 { "routes",
                     { { "read", route("idempotent", "/r/") }, { "order", route("non_idempotent", "/o/") },
+                        { "slow-order", route("non_idempotent", slowPath, "5000ms") },
                         { "newest", route("idempotent", newestPath().c_str()) } } },
                 { "tenants", { { "team", { { "api_keys", { "k" } } } } } } }
                 .dump());
@@ -141,13 +146,15 @@
 
     void writeUpstreamRecord(std::uint64_t node)
     {
-        m_store.put("servers/i-" + std::to_string(node),
+        m_store.put(recordKey(node),
             nlohmann::json { { "address", address(node, upstreamPort) }, { "born", m_starts[node] },
                 { "info", { { "service", "registry" }, { "zone", "a" }, { "slots", 40 } } },
                 { "status", { { "state", "ready" }, { "cold_left", "0ms" }, { "sequence", ++m_sequence } } } }
                 .dump());
     }
 
+    static std::string recordKey(std::uint64_t node) { return "servers/i-" + std::to_string(node); }
+
     std::unique_ptr<ChildProcess> startNode(std::uint64_t node)
     {
         m_upstreams[node]->excuseLateArrivals();
@@ -187,11 +194,16 @@
     {
         const std::uint64_t node = m_random.below(FLAGS_nodes);
         const bool nonIdempotent = m_random.below(3) == 0;
-        const std::string path = nonIdempotent ? "/o/" : m_checking ? newestPath() : "/r/";
+        const bool isSlow = nonIdempotent && m_random.below(2) == 0;
+        const int deadline = isSlow ? slowOrderDeadline : callerDeadline;
+        const std::string path = isSlow ? slowPath
+            : nonIdempotent             ? "/o/"
+            : m_checking                ? newestPath()
+                                        : "/r/";
         const std::string id = std::to_string(m_seed) + "-" + std::to_string(m_sent.size());
         m_sent[id] = { nonIdempotent, m_checking, 0 };
-        connectStream(
-            m_io, address(node, callerPort), 1s, [this, id, path](const std::shared_ptr<ByteStream>& stream) {
+        connectStream(m_io, address(node, callerPort), 1s,
+            [this, id, path, deadline](const std::shared_ptr<ByteStream>& stream) {
                 if (!stream)
                     return;
                 auto parser = std::make_shared<ResponseParser>(false, 1 << 20);
@@ -206,8 +218,10 @@
                     },
                     [](StreamEnd) {});
                 stream->write("GET " + path + "x HTTP/1.1\r\nHost: example\r\nEbonystack-Attempt-Id: " + id
-                    + "\r\nEbonystack-Deadline-Ms: 1400\r\nAuthorization: Bearer k\r\n\r\n");
-                after(callerTimeout, [stream] { stream->close(); });
+                    + "\r\nEbonystack-Deadline-Ms: " + std::to_string(deadline)
+                    + "\r\nAuthorization: Bearer k\r\n\r\n");
+                after(
+                    std::chrono::milliseconds(deadline) + callerTimeoutSlack, [stream] { stream->close(); });
             });
     }
 
@@ -228,8 +242,8 @@
     {
         if (m_faultsOver)
             return;
-        static constexpr std::array faults { &SoakRun::killNode, &SoakRun::pauseNode, &SoakRun::stopNode,
-            &SoakRun::storeOutage, &SoakRun::restoreStore, &SoakRun::silenceWatches,
+        static constexpr std::array faults { &SoakRun::killNode, &SoakRun::loseVm, &SoakRun::pauseNode,
+            &SoakRun::stopNode, &SoakRun::storeOutage, &SoakRun::restoreStore, &SoakRun::silenceWatches,
             &SoakRun::dropUpstreamConnections, &SoakRun::changeConfig, &SoakRun::reloadNode,
             &SoakRun::limitUpstream, &SoakRun::leaveUpstream };
         (this->*faults[m_random.below(faults.size())])(m_random.below(FLAGS_nodes));
@@ -244,6 +258,18 @@
         restartLater(node, std::chrono::milliseconds(100 + m_random.below(1000)));
     }
 
+    /// The VM loses power with its upstream, and is back after its record has lapsed.
+    void loseVm(std::uint64_t node)
+    {
+        m_nodes[node]->signal(SIGCONT);
+        m_nodes[node]->signal(SIGKILL);
+        m_upstreams[node]->closeConnections();
+        m_store.remove(recordKey(node));
+        const auto loss = shortestVmLoss + std::chrono::milliseconds(m_random.below(longestVmLoss));
+        after(loss, [this, node] { startAgain(node); });
+        restartLater(node, loss);
+    }
+
     void stopNode(std::uint64_t node)
     {
         m_upstreams[node]->excuseLateArrivals();
