Send a request again only on a connection that has not carried it

Cause: responses are told apart by the request id that they echo, and all sendings of a request share it. The upstream repeats its rejection late, where the next response is expected on that connection. The pool hands out the connection that was used last, so the next sending of the request often went there, and the old rejection was taken for its response while the upstream ran it.

Change: a connection remembers the ids that it has carried (8 bytes each, as a hash) and never carries one twice, so the id identifies the sending on it. The others stay idle and carry other requests. After 4,096 requests a connection is closed, which bounds the memory. Of a 200, a 500 or a 421 that comes late the same holds: the rule does not ask why a request is sent again.

--- a/src/transport/UpstreamConnectionPool.cpp
+++ b/src/transport/UpstreamConnectionPool.cpp
@@ -1,6 +1,7 @@
 // Connection reuse, and the exchange of one request and its response on a connection.
 #include "transport/UpstreamConnectionPool.h"
 
+#include "coordination/CarriedRequests.h"
 #include "coordination/MemoryBudget.h"
 #include "transport/ByteStream.h"
 #include "transport/SystemClock.h"
@@ -61,6 +62,7 @@
         std::string input;
         UpstreamRequest request;
         Callback done;
+        CarriedRequests carried; // also the one under way
         ExchangeId exchange { 0 }; // 0: idle
         Instant idleSince;
         Duration keepAliveTimeout { defaultKeepAliveTimeout };
@@ -86,6 +88,7 @@
     void begin(const ConnectionPtr& connection, ExchangeId exchange, UpstreamRequest request, Callback done)
     {
         connection->exchange = exchange;
+        connection->carried.add(request.id);
         connection->request = std::move(request);
         connection->done = std::move(done);
         connection->hasReceivedBytes = false;
@@ -176,7 +179,8 @@
     {
         connection->keepAliveTimeout = keepAliveTimeoutOf(response.head.fields);
         const bool reusable = response.head.keepAlive && connection->input.empty()
-            && !connection->hadStrayResponse && connection->stream->unsent() == 0;
+            && !connection->hadStrayResponse && !connection->carried.isFull()
+            && connection->stream->unsent() == 0;
         finish(connection, UpstreamResult::Kind::Responded, std::move(response), reusable);
     }
 
@@ -228,17 +232,20 @@
         return now - connection.idleSince >= connection.keepAliveTimeout - keepAliveMargin;
     }
 
-    /// Takes the most recently used idle connection that can carry the request; null when there is none.
-    /// Drops those that are near their keep-alive timeout or have unread data.
-    ConnectionPtr takeIdle(bool idempotent)
+    /// Takes the most recently used idle connection that can carry the request; null when there is none. One
+    /// that has carried the request before can't: its second response may still come. Drops those that are
+    /// near their keep-alive timeout or have unread data.
+    ConnectionPtr takeIdle(const UpstreamRequest& request)
     {
         const Instant now = monotonicNow();
-        while (!idle.empty()) {
-            ConnectionPtr connection = idle.back();
+        for (std::size_t i = idle.size(); i-- > 0;) {
+            ConnectionPtr connection = idle[i];
             const Duration idleFor = now - connection->idleSince;
-            if (!idempotent && idleFor > maxIdleForNonIdempotent)
+            if (!request.idempotent && idleFor > maxIdleForNonIdempotent)
                 return nullptr;
-            idle.pop_back();
+            if (connection->carried.mayContain(request.id))
+                continue;
+            idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
             if (!isIdleTooLong(*connection, now) && !connection->stream->hasUnreadData())
                 return connection;
             drop(connection);
@@ -271,7 +278,7 @@
 ExchangeId UpstreamConnectionPool::send(UpstreamRequest request, Callback done)
 {
     const ExchangeId exchange = m_internals->nextExchange++;
-    if (const auto connection = m_internals->takeIdle(request.idempotent))
+    if (const auto connection = m_internals->takeIdle(request))
         m_internals->begin(connection, exchange, std::move(request), std::move(done));
     else
         m_internals->open(exchange, std::move(request), std::move(done));
