Take no response that names no request for the one under way

What callers could see: a non-idempotent request is refused with 503 though it runs, or gets a response that belongs to another request.

A response without the id was taken for the response to the request under way by its position alone, also one that states "not run". Upstreams echo the id in all responses; bytes that come in addition to a response, and belong to no request, need not.

Change: such a response ends the exchange and its connection, and the outcome is unknown.

Test: HopServiceReportsExecution, four responses without an id. Before: responded for the 200s, not run for the 503 and the 421; expected unknown.

--- a/src/transport/UpstreamConnectionPool.cpp
+++ b/src/transport/UpstreamConnectionPool.cpp
@@ -155,8 +155,10 @@
                 return;
             HttpResponse response = connection->parser->take();
             const bool isInterim = response.head.status < 200;
-            if (!isInterim && !isStray(*connection, response))
+            if (!isInterim && isForRequest(*connection, response))
                 return onResponse(connection, std::move(response));
+            if (!isInterim && !response.head.fields.find(fieldNames.requestId))
+                return finish(connection, UpstreamResult::Kind::Invalid, {}, false);
             if (!isInterim) {
                 connection->hadStrayResponse = true;
                 ++strayResponses;
@@ -168,11 +170,11 @@
         }
     }
 
-    /// Whether this is a late or second response to another request.
-    bool isStray(const Connection& connection, const HttpResponse& response) const
+    /// Whether the response names the request under way. One that names another is a late or second response
+    /// to that; one that names none may be either.
+    bool isForRequest(const Connection& connection, const HttpResponse& response) const
     {
-        const auto echoed = response.head.fields.find(fieldNames.requestId);
-        return echoed && *echoed != connection.request.id;
+        return response.head.fields.find(fieldNames.requestId) == connection.request.id;
     }
 
     void onResponse(const ConnectionPtr& connection, HttpResponse response)
@@ -192,7 +194,7 @@
             connection->parser->feedEof();
             if (connection->parser->done()) {
                 HttpResponse response = connection->parser->take();
-                if (!isStray(*connection, response))
+                if (isForRequest(*connection, response))
                     return finish(connection, UpstreamResult::Kind::Responded, std::move(response), false);
             }
         }
--- a/src/transport/UpstreamTransport.h
+++ b/src/transport/UpstreamTransport.h
@@ -29,7 +29,7 @@
 
 struct UpstreamRequest {
     std::string bytes; ///< the serialized request with its body
-    std::string id; ///< request id; a response that echoes another one is skipped
+    std::string id; ///< request id; a response that echoes another one is skipped, one without it is invalid
     bool isHeadRequest { false };
     bool idempotent { false };
 
--- a/test/correctness/HopServiceReportsExecution.cpp
+++ b/test/correctness/HopServiceReportsExecution.cpp
@@ -123,6 +123,23 @@
     }
 }
 
+// Guards against taking a surplus response without an id for the response to the request under way.
+TEST_CASE("a response that names no request gives an unknown outcome, whatever it states")
+{
+    const std::vector<std::string> responses { "200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok",
+        "200 OK\r\nX-Seal: s\r\n\r\nok",
+        "503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+        "421 Misdirected Request\r\nContent-Length: 0\r\n\r\n" };
+    for (const std::string& response : responses) {
+        HopServiceFixture fixture([&](const HttpRequest&) {
+            return ScriptedResponse { "HTTP/1.1 " + response, true };
+        });
+        fixture.requestAndWait(1, false);
+        REQUIRE(fixture.responses.size() == 1);
+        CHECK(fixture.responses[0].outcome == HopOutcome::OutcomeUnknown);
+    }
+}
+
 TEST_CASE("bytes that are not an HTTP response end the connection")
 {
     HopServiceFixture fixture([](const HttpRequest&) { return ScriptedResponse { "gibberish\r\n\r\n" }; });
