Soak: upstreams that reject requests and repeat responses late

For 1 to 4 s all upstreams now reject one request in three and repeat one response in two, where the next one is expected on the connection. Slow orders may go to one upstream only, so that a rejected one is offered to it again.

--- a/test/soak/SoakFakes.cpp
+++ b/test/soak/SoakFakes.cpp
@@ -51,17 +51,22 @@
     auto parser = std::make_shared<RequestParser>(16384, 1 << 20);
     m_streams.insert(stream);
     const std::weak_ptr<ByteStream> weak = stream;
+    const auto late = std::make_shared<std::string>();
     stream->start(
-        [this, weak, parser](std::string_view bytes) {
+        [this, weak, parser, late](std::string_view bytes) {
             parser->feed(bytes);
             if (!parser->done())
                 return;
             const HttpRequest request = parser->take();
             *parser = RequestParser(16384, 1 << 20);
-            m_handler(request, [weak](const std::string& response) {
+            if (const auto connection = weak.lock())
+                connection->write(std::exchange(*late, {}));
+            m_handler(request, [this, weak, late](const std::string& response) {
                 const auto connection = weak.lock();
                 if (!connection)
                     return;
+                if (m_repeatsLate())
+                    *late = response;
                 if (response.empty())
                     connection->close();
                 else
@@ -206,6 +211,7 @@
         handle(request, std::move(respond));
     })
 {
+    m_server.setRepeatsLate([this] { return m_isRejecting && m_random.below(2) == 0; });
 }
 
 void FakeUpstream::handle(const HttpRequest& request, FakeHttpServer::ResponseCallback respond)
@@ -220,6 +226,9 @@
         || field(request, "Ebonystack-Caller-Service") != "registry")
         m_observations.violations.push_back(
             "wrong team or calling service at the upstream with request " + id);
+    if (m_isRejecting && m_random.below(3) == 0)
+        return respond(
+            response(503, "", "Ebonystack-Attempt-Id: " + id + "\r\nEbonystack-Not-Executed: 1\r\n"));
     ++m_observations.executions[id];
     checkArrival(id);
     const bool lost = m_random.below(requestsPerLostConnection) == 0;
--- a/test/soak/SoakFakes.h
+++ b/test/soak/SoakFakes.h
@@ -30,11 +30,15 @@
     FakeHttpServer(boost::asio::io_context&, const std::string& address, RequestHandler handler);
     std::uint16_t port() const { return m_acceptor.port(); }
     void closeConnections();
+    /// Decides about each response whether it is sent once more, when the next one is expected on its
+    /// connection.
+    void setRepeatsLate(std::function<bool()> repeatsLate) { m_repeatsLate = std::move(repeatsLate); }
 
 private:
     void accept(boost::asio::ip::tcp::socket);
 
     RequestHandler m_handler;
+    std::function<bool()> m_repeatsLate { [] { return false; } };
     std::set<std::shared_ptr<ByteStream>> m_streams;
     StreamAcceptor m_acceptor;
 };
@@ -107,6 +111,8 @@
     FakeUpstream(boost::asio::io_context&, const std::string& address, std::string instance,
         UpstreamObservations&, std::uint64_t seed);
     void closeConnections() { m_server.closeConnections(); }
+    /// While set, rejects one request in three without running it, and repeats one response in two late.
+    void setRejecting(bool isRejecting) { m_isRejecting = isRejecting; }
     /// Names a limit in all responses from now on, in requests per second; 0 names none.
     void nameLimit(double requestsPerSecond);
     /// Says in all responses from now on that the upstream is leaving.
@@ -127,6 +133,7 @@
     boost::asio::io_context& m_io;
     std::string m_instance;
     double m_limit { 0 };
+    bool m_isRejecting { false };
     bool m_leaving { false };
     bool m_lateArrivalsCount { false };
     std::optional<Clock::time_point> m_limitNamedAt; // the first response with it
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -1,7 +1,8 @@
 // A soak of real sidecar processes on loopback under random faults that a seed determines. The processes are
 // killed, paused, stopped, restarted and told to reload; VMs are lost until their record has lapsed; the
 // store goes down, comes back from an old copy, leaves watches unanswered and changes its configuration;
-// upstreams close connections. Faults follow each other or overlap. The run fails unless all of this holds:
+// upstreams close connections, reject requests and repeat responses late. Faults follow each other or
+// overlap. The run fails unless all of this holds:
 // - a success has the sealed and complete response of an upstream that ran the request
 // - a non-idempotent request runs at most once, and not at all when its refusal says so
 // - a valid request is not refused with 401 or 404
@@ -118,19 +119,20 @@
 
     void writeConfig()
     {
-        const auto route = [](const char* kind, const char* prefix, const char* timeout = "1000ms") {
+        const auto route = [](const char* kind, const char* prefix, const char* timeout, int maxAttempts) {
             return nlohmann::json { { "host", "example" }, { "path_prefix", prefix }, { "route_kind", kind },
                 { "timeout", timeout }, { "target_latency", "500ms" }, { "priority", 1 },
-                { "service", "registry" }, { "max_attempts", 2 } };
+                { "service", "registry" }, { "max_attempts", maxAttempts } };
         };
         char version[16];
         std::snprintf(version, sizeof version, "%08x", m_version);
         m_store.put("op/config",
             nlohmann::json { { "version", version },
                 { "routes",
-                    { { "read", route("idempotent", "/r/") }, { "order", route("non_idempotent", "/o/") },
-                        { "slow-order", route("non_idempotent", slowPath, "5000ms") },
-                        { "newest", route("idempotent", newestPath().c_str()) } } },
+                    { { "read", route("idempotent", "/r/", "1000ms", 2) },
+                        { "order", route("non_idempotent", "/o/", "1000ms", 2) },
+                        { "slow-order", route("non_idempotent", slowPath, "5000ms", 1) },
+                        { "newest", route("idempotent", newestPath().c_str(), "1000ms", 2) } } },
                 { "tenants", { { "team", { { "api_keys", { "k" } } } } } } }
                 .dump());
     }
@@ -245,7 +247,7 @@
         static constexpr std::array faults { &SoakRun::killNode, &SoakRun::loseVm, &SoakRun::pauseNode,
             &SoakRun::stopNode, &SoakRun::storeOutage, &SoakRun::restoreStore, &SoakRun::silenceWatches,
             &SoakRun::dropUpstreamConnections, &SoakRun::changeConfig, &SoakRun::reloadNode,
-            &SoakRun::limitUpstream, &SoakRun::leaveUpstream };
+            &SoakRun::limitUpstream, &SoakRun::leaveUpstream, &SoakRun::rejectRequests };
         (this->*faults[m_random.below(faults.size())])(m_random.below(FLAGS_nodes));
         after(std::chrono::milliseconds(150 + m_random.below(900)), [this] { scheduleFault(); });
     }
@@ -338,6 +340,18 @@
         putUpstreamRecord(node);
     }
 
+    void rejectRequests(std::uint64_t)
+    {
+        setRejecting(true);
+        after(std::chrono::milliseconds(1000 + m_random.below(3000)), [this] { setRejecting(false); });
+    }
+
+    void setRejecting(bool isRejecting)
+    {
+        for (const auto& upstream : m_upstreams)
+            upstream->setRejecting(isRejecting);
+    }
+
     void dropUpstreamConnections(std::uint64_t node) { m_upstreams[node]->closeConnections(); }
     void changeConfig(std::uint64_t) { putConfig(); }
     void reloadNode(std::uint64_t node) { m_nodes[node]->signal(SIGHUP); }
@@ -346,6 +360,7 @@
     {
         m_store.setDown(false);
         m_store.silenceWatches();
+        setRejecting(false);
         writeConfig();
         for (std::uint64_t node = 0; node < FLAGS_nodes; ++node) {
             startAgain(node);
