Log how old news of the store is, and requests that are sent to a leaving upstream

Each change of a record is logged with its greatest possible age. The mirror knows since when it can lack a change: from the node's own calls, from heartbeats (`copyAge`) and pushes (`sinceAge`) of peers; both are optional on the wire. Each request that is sent to an upstream that is known to leave, or whose record is missing, is logged and counted with both times.

The directory and LocalUpstream carry the time of a change as it was heard; no decision uses its age yet. In HopServiceReportsExecution the time of the news is now given with the record instead of with the refresh that reads it; the check is the same.

--- a/src/coordination/LocalUpstream.cpp
+++ b/src/coordination/LocalUpstream.cpp
@@ -3,7 +3,7 @@
 
 namespace Ebonystack {
 
-void LocalUpstream::setRecord(const UpstreamRecord& record, Instant now)
+void LocalUpstream::setRecord(const UpstreamRecord& record, const ChangeTime& written)
 {
     const bool isOtherRun
         = m_record && (m_record->instance != record.instance || m_record->startedAt != record.startedAt);
@@ -13,13 +13,13 @@
     if (!record.draining)
         m_drainingSince.reset();
     else if (!m_drainingSince)
-        m_drainingSince = now;
+        m_drainingSince = written;
 }
 
-void LocalUpstream::removeRecord(Instant now)
+void LocalUpstream::removeRecord(const ChangeTime& removed)
 {
     if (m_record && !m_drainingSince)
-        m_drainingSince = now;
+        m_drainingSince = removed;
 }
 
 bool LocalUpstream::onResponse(const UpstreamNotice& notice, Instant sentAt, Instant now)
@@ -57,9 +57,16 @@
     return UpstreamNotice { m_record->instance, m_requestLimit, isLeaving() };
 }
 
+std::optional<ChangeTime> LocalUpstream::leavingSince() const
+{
+    if (m_drainingSince && m_leavingSince)
+        return m_drainingSince->heardAt < *m_leavingSince ? m_drainingSince : ChangeTime(*m_leavingSince);
+    return m_drainingSince ? m_drainingSince : m_leavingSince;
+}
+
 bool LocalUpstream::hasDrainedFor(Duration time, Instant now) const
 {
-    return (m_drainingSince && now - *m_drainingSince > time)
+    return (m_drainingSince && now - m_drainingSince->heardAt > time)
         || (m_leavingSince && now - *m_leavingSince > time);
 }
 
--- a/src/coordination/LocalUpstream.h
+++ b/src/coordination/LocalUpstream.h
@@ -2,7 +2,7 @@
 // and, after a restart of the node, by what entry nodes remember.
 #pragma once
 
-#include "state/Time.h"
+#include "state/ChangeTime.h"
 #include "state/UpstreamNotice.h"
 
 #include <optional>
@@ -12,11 +12,12 @@
 /// Not thread-safe.
 class LocalUpstream {
 public:
-    /// Called with the newest record at the upstream's address. What another run there has said is forgotten.
-    void setRecord(const UpstreamRecord&, Instant now);
+    /// Called with the newest record at the upstream's address and the time of its write. What another run
+    /// there has said is forgotten.
+    void setRecord(const UpstreamRecord&, const ChangeTime& written);
     /// Called when the directory has no record at the upstream's address any more: some upstreams leave
     /// without a word.
-    void removeRecord(Instant now);
+    void removeRecord(const ChangeTime& removed);
     /// Called with the notice of each response whose request was sent at `sentAt`. Returns whether the
     /// request limit has changed or the upstream has said for the first time that it is leaving.
     bool onResponse(const UpstreamNotice&, Instant sentAt, Instant now);
@@ -24,6 +25,7 @@
     /// this node's start. Returns whether the request limit has changed.
     bool adoptRequestLimit(double requestsPerSecond);
 
+    const std::optional<UpstreamRecord>& record() const { return m_record; }
     /// The requests per second that the upstream takes; nothing if it has named no limit.
     std::optional<double> requestLimit() const { return m_requestLimit; }
     /// What the upstream has said since this node's start; nothing until then.
@@ -31,6 +33,9 @@
     bool isLeaving() const { return m_leavingSince.has_value(); }
     /// Whether the record says that the upstream is draining, or was removed.
     bool isDraining() const { return m_drainingSince.has_value(); }
+    /// When the first of these was heard, and since when it can be so; nothing if the upstream is not known
+    /// to leave.
+    std::optional<ChangeTime> leavingSince() const;
     /// Whether the record or the responses have said for `time` or longer that the upstream takes no
     /// requests.
     bool hasDrainedFor(Duration time, Instant now) const;
@@ -41,7 +46,7 @@
     Instant m_limitHeardAt; // when the last response with a limit arrived
     bool m_hasResponded { false }; // since this node's start
     bool m_hasGivenNotice { false }; // likewise
-    std::optional<Instant> m_drainingSince; // by the record or its removal
+    std::optional<ChangeTime> m_drainingSince; // by the record or its removal
     std::optional<Instant> m_leavingSince; // by the responses; stays for the rest of the run
 };
 
--- a/src/coordination/StoreMirror.cpp
+++ b/src/coordination/StoreMirror.cpp
@@ -104,6 +104,12 @@
 
 void StoreMirror::setCompleteRevision(std::uint64_t revision) { m_revision = std::max(m_revision, revision); }
 
+void StoreMirror::confirm(const StorePosition& position, Instant time)
+{
+    if (m_revision > 0 && position <= this->position())
+        m_confirmedAt = std::max(m_confirmedAt.value_or(time), time);
+}
+
 StoreUpdate StoreMirror::changesSince(const StorePosition& since) const
 {
     StoreUpdate update { since.era == m_era ? since.revision : 0, m_revision, {}, std::nullopt, m_era };
--- a/src/coordination/StoreMirror.h
+++ b/src/coordination/StoreMirror.h
@@ -6,10 +6,12 @@
 #include "state/StoreItem.h"
 #include "state/StorePosition.h"
 #include "state/StoreUpdate.h"
+#include "state/Time.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,11 +39,17 @@
     bool applyUpdate(const StoreUpdate&);
     /// Called when all changes up to `revision` of the copy's era have been applied.
     void setCompleteRevision(std::uint64_t revision);
+    /// Called when the store is known to have had no change after `position` at `time`. Does nothing for a
+    /// position that the copy has not reached.
+    void confirm(const StorePosition&, Instant time);
 
     /// Up to where the copy has all changes; revision 0 before the first listing.
     StorePosition position() const { return { m_era, m_revision }; }
     std::uint64_t era() const { return m_era; }
     std::uint64_t revision() const { return m_revision; }
+    /// The last time at which the store is known to have had no change that the copy lacks. What the copy
+    /// gets next was written after it.
+    std::optional<Instant> confirmedAt() const { return m_confirmedAt; }
     /// What changed after `since`: all items, if `since` is of another era.
     StoreUpdate changesSince(const StorePosition& since) const;
 
@@ -63,6 +71,7 @@
     // All removals after this revision are known. A listing names what exists, not what was removed before
     // it.
     std::uint64_t m_removalsKnownSince { 0 };
+    std::optional<Instant> m_confirmedAt;
 };
 
 } // namespace Ebonystack
--- a/src/coordination/UpstreamDirectory.cpp
+++ b/src/coordination/UpstreamDirectory.cpp
@@ -27,37 +27,44 @@
         && runOf(record) <= runOf(ended->second.record);
 }
 
-void UpstreamDirectory::put(const UpstreamRecord& record, const StorePosition& position, Instant now)
+void UpstreamDirectory::put(
+    const UpstreamRecord& record, const StorePosition& position, const ChangeTime& written)
 {
     ++m_version;
     m_era = std::max(m_era, position.era);
     m_doubted.erase(record.instance);
     const auto known = m_upstreams.find(record.instance);
     if (isOutdated(record, position))
-        m_doubted.emplace(record.instance, DoubtedRecord { record, position, now + restoredRecordLapse });
+        m_doubted.emplace(record.instance,
+            DoubtedRecord { record, position, written, written.heardAt + restoredRecordLapse });
     else if (known == m_upstreams.end() || known->second.record != record
         || known->second.position.era == position.era)
-        return accept(record, position, now);
+        return accept(record, position, written);
     if (known != m_upstreams.end()) { // published, with no news in it
         known->second.expiresAt.reset();
         known->second.lapsedWhileStoreUnreachable = false;
+        known->second.removed.reset();
     }
 }
 
-void UpstreamDirectory::accept(const UpstreamRecord& record, const StorePosition& position, Instant now)
+void UpstreamDirectory::accept(
+    const UpstreamRecord& record, const StorePosition& position, const ChangeTime& written)
 {
     m_ended.erase(record.instance);
     m_upstreams.insert_or_assign(record.instance,
-        KnownUpstream { record, position, now + record.remainingColdTime, std::nullopt, false });
+        KnownUpstream { record, position, written.heardAt + record.remainingColdTime, std::nullopt, false,
+            written, std::nullopt });
 }
 
-void UpstreamDirectory::end(const KnownUpstream& upstream, Instant now)
+void UpstreamDirectory::end(const KnownUpstream& upstream, const ChangeTime& removed, Instant now)
 {
     if (m_ended.size() < maxEndedUpstreams)
-        m_ended.insert_or_assign(upstream.record.instance, EndedUpstream { upstream.record, m_era, now });
+        m_ended.insert_or_assign(
+            upstream.record.instance, EndedUpstream { upstream.record, m_era, removed, now });
 }
 
-void UpstreamDirectory::remove(const InstanceId& instance, std::optional<Instant> graceUntil, Instant now)
+void UpstreamDirectory::remove(
+    const InstanceId& instance, std::optional<Instant> graceUntil, const ChangeTime& removed)
 {
     m_doubted.erase(instance);
     const auto found = m_upstreams.find(instance);
@@ -66,13 +73,14 @@
     ++m_version;
     if (graceUntil && !found->second.record.draining) {
         found->second.expiresAt = graceUntil;
+        found->second.removed = removed;
         return;
     }
-    end(found->second, now);
+    end(found->second, removed, removed.heardAt);
     m_upstreams.erase(found);
 }
 
-void UpstreamDirectory::removeWhileStoreUnreachable(const InstanceId& instance, Instant now)
+void UpstreamDirectory::removeWhileStoreUnreachable(const InstanceId& instance, const ChangeTime& removed)
 {
     m_doubted.erase(instance);
     const auto found = m_upstreams.find(instance);
@@ -80,10 +88,12 @@
         return;
     ++m_version;
     if (found->second.record.draining) {
-        end(found->second, now);
+        end(found->second, removed, removed.heardAt);
         m_upstreams.erase(found);
-    } else
-        found->second.lapsedWhileStoreUnreachable = true;
+        return;
+    }
+    found->second.lapsedWhileStoreUnreachable = true;
+    found->second.removed = removed;
 }
 
 void UpstreamDirectory::expire(const StoreReachability& reachability, Instant now)
@@ -101,14 +111,14 @@
     m_version += std::erase_if(m_upstreams, [&](const auto& item) {
         const bool hasEnded = item.second.expiresAt && *item.second.expiresAt <= now;
         if (hasEnded)
-            end(item.second, now);
+            end(item.second, item.second.removed.value_or(now), now);
         return hasEnded;
     });
     m_version += std::erase_if(m_doubted, [&](const auto& item) {
         const DoubtedRecord& doubted = item.second;
         const bool isPublished = doubted.until <= now;
         if (isPublished)
-            accept(doubted.record, doubted.position, now);
+            accept(doubted.record, doubted.position, doubted.written);
         return isPublished;
     });
     std::erase_if(m_ended, [&](const auto& item) { return now - item.second.at > endedUpstreamLifetime; });
@@ -154,6 +164,12 @@
     return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
+std::optional<ChangeTime> UpstreamDirectory::removalOf(const InstanceId& instance) const
+{
+    const auto found = m_ended.find(instance);
+    return found == m_ended.end() ? std::nullopt : std::optional(found->second.removed);
+}
+
 std::vector<VmId> UpstreamDirectory::vms() const
 {
     return vmsIf([](const KnownUpstream&) { return true; });
--- a/src/coordination/UpstreamDirectory.h
+++ b/src/coordination/UpstreamDirectory.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "coordination/StoreReachability.h"
+#include "state/ChangeTime.h"
 #include "state/StorePosition.h"
 #include "state/UpstreamRecord.h"
 
@@ -23,6 +24,8 @@
     std::optional<Instant> expiresAt; ///< set when the record has lapsed: the upstream is dropped then
     /// The record has lapsed while the VM could not reach the store.
     bool lapsedWhileStoreUnreachable { false };
+    ChangeTime written { Instant() }; ///< the record's last write
+    std::optional<ChangeTime> removed; ///< set while the store has no record of the upstream
 
     auto operator<=>(const KnownUpstream&) const = default;
 };
@@ -44,13 +47,13 @@
 
     /// Called when a record was written, or is in the copy from which the store came back. A copy that is
     /// older than what the upstream said last counts only if it is still there after `restoredRecordLapse`.
-    void put(const UpstreamRecord&, const StorePosition&, Instant now);
+    void put(const UpstreamRecord&, const StorePosition&, const ChangeTime&);
     /// Called when a record was removed. With `graceUntil` the record may have lapsed only because the store
     /// could not be reached: the upstream stays in use until then, unless it is draining.
-    void remove(const InstanceId&, std::optional<Instant> graceUntil, Instant now);
+    void remove(const InstanceId&, std::optional<Instant> graceUntil, const ChangeTime&);
     /// Called when a record was removed while its VM could not reach the store. Unless it is draining, the
     /// upstream stays in use while that is so, and for `lapsedRecordGrace` after the VM reaches the store.
-    void removeWhileStoreUnreachable(const InstanceId&, Instant now);
+    void removeWhileStoreUnreachable(const InstanceId&, const ChangeTime&);
     /// Drops the upstreams whose record was not published again in time. Call it at regular intervals.
     void expire(const StoreReachability&, Instant now);
 
@@ -60,6 +63,9 @@
     /// The upstream of the record at an address that was written last; null when there is none.
     const KnownUpstream* newestAtAddress(const std::string& address) const;
     const KnownUpstream* find(const InstanceId&) const;
+    /// When the record of an upstream that has left the directory was removed; nothing if it is not known to
+    /// have left.
+    std::optional<ChangeTime> removalOf(const InstanceId&) const;
     /// All VMs with an upstream in the directory, sorted and without duplicates.
     std::vector<VmId> vms() const;
     /// The VMs among them with a record that is published now. Nodes that have just started know only these.
@@ -79,19 +85,21 @@
     struct DoubtedRecord {
         UpstreamRecord record;
         StorePosition position;
+        ChangeTime written;
         Instant until;
     };
     /// The last record of an upstream that has left the directory.
     struct EndedUpstream {
         UpstreamRecord record;
         std::uint64_t era { 0 }; // of the store, at the removal
+        ChangeTime removed;
         Instant at;
     };
 
     /// Whether the record comes from an older copy than what is known of the upstream.
     bool isOutdated(const UpstreamRecord&, const StorePosition&) const;
-    void accept(const UpstreamRecord&, const StorePosition&, Instant now);
-    void end(const KnownUpstream&, Instant now);
+    void accept(const UpstreamRecord&, const StorePosition&, const ChangeTime&);
+    void end(const KnownUpstream&, const ChangeTime& removed, Instant now);
 
     template <typename Predicate> std::vector<VmId> vmsIf(Predicate&&) const;
     std::map<ServiceName, Upstreams> findUsable() const;
--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t lengthPrefixBytes = 4;
 /// Frames nest four arrays; the decoder of the library recurses once per level.
 constexpr std::size_t maxNesting = 16;
+/// Longer ages say no more than a missing one.
+constexpr Duration maxAge = std::chrono::hours(1);
 
 /// Builds the decoded value, and stops the decoder when the value is malformed or nested too deeply.
 class FrameBuilder : public nlohmann::detail::json_sax_dom_parser<Json> {
@@ -84,6 +86,14 @@
     return number ? Json(*number) : Json();
 }
 
+Json encodeAge(const std::optional<Duration>& age) { return age ? Json(toMilliseconds(*age)) : Json(); }
+
+void removeTrailingNulls(Json& array)
+{
+    while (!array.empty() && array.back().is_null())
+        array.erase(array.size() - 1);
+}
+
 /// Nothing if the number is missing or no finite number from 0.
 std::optional<double> decodeOptional(const Json& json)
 {
@@ -161,11 +171,9 @@
 
 Json encode(const LinkHeartbeat& frame)
 {
-    Json json = Json::array({ encodeLoad(frame.load), frame.storeRevision, frame.reachesStore });
-    if (frame.uptime || frame.storeEra)
-        json.push_back(encodeOptional(frame.uptime));
-    if (frame.storeEra)
-        json.push_back(*frame.storeEra);
+    Json json = Json::array({ encodeLoad(frame.load), frame.storeRevision, frame.reachesStore,
+        encodeOptional(frame.uptime), encodeOptional(frame.storeEra), encodeAge(frame.copyAge) });
+    removeTrailingNulls(json);
     return json;
 }
 
@@ -236,8 +244,10 @@
 Json encode(const StoreChangesPush& frame)
 {
     const StoreUpdate& update = frame.update;
-    return Json::array({ update.since, update.revision, encodeItems(update.items), encodeOtherKeys(update),
-        encodeOptional(update.era) });
+    Json json = Json::array({ update.since, update.revision, encodeItems(update.items),
+        encodeOtherKeys(update), encodeOptional(update.era), encodeAge(frame.sinceAge) });
+    removeTrailingNulls(json);
+    return json;
 }
 
 Json encode(const TokenRequest& frame)
@@ -265,12 +275,22 @@
     return json.at(index).get<std::uint64_t>();
 }
 
+/// Nothing if the age is missing, negative or above `maxAge`.
+std::optional<Duration> decodeAge(const Json& json, std::size_t index)
+{
+    const auto milliseconds = json.size() > index ? decodeOptional(json.at(index)) : std::nullopt;
+    if (!milliseconds || *milliseconds > static_cast<double>(toMilliseconds(maxAge)))
+        return std::nullopt;
+    return std::chrono::milliseconds(static_cast<std::int64_t>(*milliseconds));
+}
+
 PeerFrame decodeHeartbeat(const Json& json)
 {
     LinkHeartbeat heartbeat { decodeLoad(json.at(0)), json.at(1), json.at(2), std::nullopt };
     if (json.size() > 3)
         heartbeat.uptime = decodeOptional(json.at(3));
     heartbeat.storeEra = decodeEra(json, 4);
+    heartbeat.copyAge = decodeAge(json, 5);
     return heartbeat;
 }
 
@@ -342,7 +362,8 @@
 PeerFrame decodeStoreChangesPush(const Json& json)
 {
     return StoreChangesPush { { json.at(0), json.at(1), decodeItems(json.at(2)), decodeOtherKeys(json, 3),
-        decodeEra(json, 4) } };
+                                  decodeEra(json, 4) },
+        decodeAge(json, 5) };
 }
 
 PeerFrame decodeTokenRequest(const Json& json)
--- a/src/protocol/PeerFrame.h
+++ b/src/protocol/PeerFrame.h
@@ -40,6 +40,7 @@
     bool reachesStore { true };
     std::optional<double> uptime; ///< of the sender's process, in seconds; optional on the wire
     std::optional<std::uint64_t> storeEra; ///< of the revision; see StoreUpdate::era
+    std::optional<Duration> copyAge; ///< since StoreMirror::confirmedAt; optional on the wire
 
     auto operator<=>(const LinkHeartbeat&) const = default;
 };
@@ -152,6 +153,9 @@
 /// Changes that a node has read from the store, sent to the nodes of its data centre without a request.
 struct StoreChangesPush {
     StoreUpdate update;
+    /// How long ago the store is known to have had no change after the update's `since`. Optional on the
+    /// wire.
+    std::optional<Duration> sinceAge;
 
     auto operator<=>(const StoreChangesPush&) const = default;
 };
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -242,6 +242,7 @@
     {
         const HopRequest& request = job->request;
         countArrival(*job, now);
+        observeLateSend(*job, now);
         job->sentAt = now;
         RequestHead head;
         head.method = request.method;
@@ -258,6 +259,30 @@
             });
     }
 
+    void removeRecord(Instant now)
+    {
+        const auto& record = localUpstream.record();
+        const auto removed = record ? state.directory.removalOf(record->instance) : std::nullopt;
+        localUpstream.removeRecord(removed.value_or(ChangeTime(now, std::nullopt)));
+        recordRemoved.reset();
+    }
+
+    /// Records a request that is sent to an upstream that is known to leave, or whose record is missing.
+    void observeLateSend(const Job& job, Instant now)
+    {
+        const auto leaving = localUpstream.leavingSince();
+        const auto since = leaving ? leaving : recordRemoved;
+        if (!since)
+            return;
+        const Duration known = now - since->heardAt;
+        const auto age = since->madeAfter ? std::optional(now - *since->madeAfter) : std::nullopt;
+        state.counters.sendsWhileLeaving[leaving ? "leaving" : "record missing"].add(age.value_or(known));
+        state.log.failure("sent to a leaving upstream", job.id, now, [&] {
+            return nlohmann::json { { "recordMissing", !leaving }, { "knownMs", toMilliseconds(known) },
+                { "atMostMs", age ? nlohmann::json(toMilliseconds(*age)) : nlohmann::json() } };
+        });
+    }
+
     void countArrival(Job& job, Instant now)
     {
         if (isRepeat(job)) {
@@ -562,6 +587,7 @@
     SlotGate gate;
     OverloadController overloadController;
     LocalUpstream localUpstream;
+    std::optional<ChangeTime> recordRemoved; // of the upstream, while it stays in use without its record
     ValueRationing repeatRationing;
     RetryMonitor retryMonitor;
     std::map<JobKey, JobPtr> jobs; // those that wait or run, and ended non-idempotent ones that are retained
@@ -614,8 +640,9 @@
         service.state.directory.usable(service.state.settings.service).size());
     service.state.retryBudget.removeIdleRoutes(now);
     if (!local)
-        return service.localUpstream.removeRecord(now);
-    service.localUpstream.setRecord(local->record, now);
+        return service.removeRecord(now);
+    service.localUpstream.setRecord(local->record, local->written);
+    service.recordRemoved = local->removed;
     service.applyRequestLimit(now);
     if (local->record.slots != service.slots) {
         service.slots = local->record.slots;
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -214,6 +214,17 @@
 
     // Updates from the store.
 
+    /// The time of a change that the mirror has just received.
+    ChangeTime changeTime(Instant now) const { return { now, m_mirror.confirmedAt() }; }
+
+    /// How old a change that the mirror has just received is at most, in milliseconds, for log lines; null if
+    /// that is not known.
+    nlohmann::json newsAge(Instant now) const
+    {
+        const auto confirmedAt = m_mirror.confirmedAt();
+        return confirmedAt ? nlohmann::json(toMilliseconds(now - *confirmedAt)) : nlohmann::json();
+    }
+
     void onStoreItem(const StoreItem& item)
     {
         const Instant now = monotonicNow();
@@ -226,7 +237,7 @@
                     { "reason", decoded.error() } };
             });
             if (const auto instance = m_state.adapter.instanceOfKey(item.key)) {
-                m_state.directory.remove(*instance, std::nullopt, now);
+                m_state.directory.remove(*instance, std::nullopt, changeTime(now));
                 m_directoryChanged = true;
             }
             return;
@@ -251,17 +262,18 @@
         const bool storeWasUnreachable
             = isStoreUnreachable || (recoveredAt && now < *recoveredAt + lapsedRecordGrace);
         if (vmLostStore)
-            m_state.directory.removeWhileStoreUnreachable(*instance, now);
+            m_state.directory.removeWhileStoreUnreachable(*instance, changeTime(now));
         else
             m_state.directory.remove(*instance,
                 storeWasUnreachable
                     ? std::optional((isStoreUnreachable ? now : *recoveredAt) + lapsedRecordGrace)
                     : std::nullopt,
-                now);
+                changeTime(now));
         m_directoryChanged = true;
         m_state.log.state("upstream entry removed", now, [&] {
             return nlohmann::json { { "instance", instance->text }, { "revision", item.revision },
-                { "lacksContact", vmLostStore }, { "storeWasAway", storeWasUnreachable } };
+                { "lacksContact", vmLostStore }, { "storeWasAway", storeWasUnreachable },
+                { "newsAgeMs", newsAge(now) } };
         });
     }
 
@@ -273,7 +285,7 @@
         if (!instance)
             return;
         const Instant now = monotonicNow();
-        m_state.directory.remove(*instance, now + restoredRecordGrace, now);
+        m_state.directory.remove(*instance, now + restoredRecordGrace, changeTime(now));
         m_directoryChanged = true;
         m_state.log.state("upstream entry lost", now, [&] {
             return nlohmann::json { { "instance", instance->text }, { "era", m_mirror.era() } };
@@ -282,12 +294,13 @@
 
     void onUpstreamRecord(const UpstreamRecord& upstream, std::uint64_t revision, Instant now)
     {
-        m_state.directory.put(upstream, { m_mirror.era(), revision }, now);
+        m_state.directory.put(upstream, { m_mirror.era(), revision }, changeTime(now));
         m_directoryChanged = true;
         m_state.log.state("upstream entry", now, [&] {
             return nlohmann::json { { "instance", upstream.instance.text },
                 { "service", upstream.service.text }, { "address", upstream.address },
-                { "draining", upstream.draining }, { "slots", upstream.slots }, { "revision", revision } };
+                { "draining", upstream.draining }, { "slots", upstream.slots }, { "revision", revision },
+                { "newsAgeMs", newsAge(now) } };
         });
     }
 
@@ -313,8 +326,9 @@
     LinkHeartbeat localHeartbeat() const override
     {
         const Instant now = monotonicNow();
+        const auto confirmedAt = m_mirror.confirmedAt();
         return { m_hop.load(), m_mirror.revision(), !m_store.isUnreachable(now), toSeconds(now - m_startedAt),
-            m_mirror.era() };
+            m_mirror.era(), confirmedAt ? std::optional(now - *confirmedAt) : std::nullopt };
     }
 
     void onHeartbeat(const VmId& vm, const LinkHeartbeat& heartbeat) override
@@ -322,8 +336,10 @@
         const Instant now = monotonicNow();
         m_state.recordLoadReport(vm, heartbeat.load, now);
         m_storeReachability.report(vm, heartbeat.reachesStore, now);
-        m_feed.onPeerPosition(
-            vm, { heartbeat.storeEra.value_or(m_mirror.era()), heartbeat.storeRevision }, now);
+        const StorePosition position { heartbeat.storeEra.value_or(m_mirror.era()), heartbeat.storeRevision };
+        if (heartbeat.copyAge)
+            m_mirror.confirm(position, now - *heartbeat.copyAge);
+        m_feed.onPeerPosition(vm, position, now);
     }
 
     void onLinkUp(const VmId& vm, std::uint64_t process) override { m_entry.onLinkUp(vm, process); }
--- a/src/transport/SidecarMetrics.cpp
+++ b/src/transport/SidecarMetrics.cpp
@@ -35,6 +35,9 @@
         "ebony_gate_wait_seconds", "Time at the gate of the upstream.", "route", counters.gateWaits));
     families.push_back(makeHistograms("ebony_upstream_seconds",
         "Time for which an answered request held a slot.", "route", counters.upstreamTimes));
+    families.push_back(makeHistograms("ebony_sends_while_leaving_seconds",
+        "How long ago the upstream can have begun to leave when a request was sent to it.", "state",
+        counters.sendsWhileLeaving));
     families.push_back(
         makeCounter("ebony_repeats_total", "Requests sent to a second upstream.", counters.retries));
     MetricFamily arrivals = makeMetricFamily("ebony_upstream_arrivals_total",
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -45,6 +45,9 @@
     std::map<std::string, LatencyHistogram> responseTimes; ///< of delivered responses, by route
     std::map<std::string, LatencyHistogram> gateWaits; ///< by route
     std::map<std::string, LatencyHistogram> upstreamTimes; ///< of requests with a response, by route
+    /// How long ago the upstream can have begun to leave when a request was sent to it, by "leaving" and
+    /// "record missing".
+    std::map<std::string, LatencyHistogram> sendsWhileLeaving;
 };
 
 /// The last part of a leaving node's time: other nodes send no more requests, and running requests finish.
--- a/src/transport/StoreFeed.cpp
+++ b/src/transport/StoreFeed.cpp
@@ -81,8 +81,12 @@
 {
     if (m_role == StoreRole::Follower)
         return;
-    if (const auto push = m_relay.takePush())
-        m_links.sendToAll(m_localPeers, *push);
+    auto push = m_relay.takePush();
+    if (!push)
+        return;
+    if (const auto confirmedAt = m_mirror.confirmedAt())
+        push->sinceAge = m_state.now() - *confirmedAt;
+    m_links.sendToAll(m_localPeers, *push);
 }
 
 void StoreFeed::onPeerPosition(const VmId& vm, const StorePosition& position, Instant now)
@@ -113,6 +117,9 @@
 void StoreFeed::onPush(const VmId& vm, const StoreChangesPush& push, Instant now)
 {
     const std::uint64_t had = m_mirror.revision();
+    if (push.sinceAge)
+        m_mirror.confirm(
+            { push.update.era.value_or(m_mirror.era()), push.update.since }, now - *push.sinceAge);
     if (const auto request = m_relay.receivePush(push))
         m_links.send(vm, *request);
     m_state.log.state("store changes pushed", now, [&] {
--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -56,6 +56,7 @@
         Instant sentAt; // when the call in flight was sent
         std::optional<Duration> watchWait; // of the watch in flight; nothing while another call is
         std::vector<StoreItem> listedItems; // from the pages received so far
+        Instant listingSentAt; // when its first page was asked for
         StorePosition listPosition; // of the listing's first page; revision 0: no page yet
         int failures { 0 }; // in a row
         std::uint64_t generation { 0 }; // incremented at each step; callbacks of earlier steps do nothing
@@ -198,7 +199,7 @@
             if (status != statusOk && status != statusNotFound)
                 return fail("expected HTTP status 200 or 404, got " + std::to_string(status));
             callTimeout.recordResponseTime(monotonicNow() - connection->sentAt);
-            return onSuccess(true);
+            return onSuccess(true, std::nullopt);
         }
         if (era < mirror.era())
             return fail("the response is of an earlier era of the store");
@@ -225,11 +226,14 @@
         const bool hasWaited = connection->watchWait && mirror.revision() == known && took >= wait;
         if (hasWaited || !connection->watchWait)
             callTimeout.recordResponseTime(took - wait);
-        onSuccess(!hasWaited);
+        if (connection->call == Call::Listing)
+            return onSuccess(true, hasListing() ? std::optional(connection->listingSentAt) : std::nullopt);
+        onSuccess(!hasWaited, connection->sentAt + (hasWaited ? wait : Duration::zero()));
     }
 
-    /// `pauses`: the next call is made after the plan's interval, and not at once.
-    void onSuccess(bool pauses)
+    /// `pauses`: the next call is made after the plan's interval, and not at once. `confirmedAt`: the store
+    /// had no change then that the mirror lacks now.
+    void onSuccess(bool pauses, std::optional<Instant> confirmedAt)
     {
         if (connection->failures > 0) {
             log.state("store regained", monotonicNow(), [&] {
@@ -244,6 +248,9 @@
         failingSince.reset();
         if (connection->call != Call::Probe && onChanges)
             onChanges();
+        // Only now: what the subscriber passes on may be older.
+        if (confirmedAt)
+            mirror.confirm(mirror.position(), *confirmedAt);
         if (connection->call == Call::Probe && !hasListing())
             schedule(newEraPushWait, &Internals::sendRequest);
         else if (hasListing() && pauses)
@@ -289,8 +296,10 @@
             fail(page.error());
             return false;
         }
-        if (connection->listPosition.revision == 0)
+        if (connection->listPosition.revision == 0) {
             connection->listPosition = { era, page->revision };
+            connection->listingSentAt = connection->sentAt;
+        }
         if (connection->listPosition.era != era) {
             fail("the store was restored during the listing");
             return false;
--- a/test/correctness/HopServiceReportsExecution.cpp
+++ b/test/correctness/HopServiceReportsExecution.cpp
@@ -214,8 +214,8 @@
     HopServiceFixture fixture(makeValidResponse);
     UpstreamRecord record = fixture.state.directory.newestAtAddress(fixture.upstream.address())->record;
     record.draining = true;
-    fixture.state.directory.put(record, { 0, 2 }, fixture.state.now());
-    fixture.hop.refreshUpstream(fixture.state.now() - std::chrono::milliseconds(1500));
+    fixture.state.directory.put(record, { 0, 2 }, fixture.state.now() - std::chrono::milliseconds(1500));
+    fixture.hop.refreshUpstream(fixture.state.now());
     fixture.requestAndWait(1, true);
     REQUIRE(fixture.responses.size() == 1);
     CHECK(fixture.responses[0].outcome == HopOutcome::NotRun);
