Tell an upstream that has left from one whose record has lapsed

Cause: each removal that was heard around a loss of the store, by the node itself or by the upstream's VM, was taken for a lapse, and kept its upstream in use for 2.2 s from when the loss was noticed to be over.

A record can lapse only three heartbeats after its last renewal. Nodes now report since when they have lost the store, or between which times they had; a record keeps its upstream in use only if its VM, or the whole store as far as the VM may not have noticed yet, was without contact for so long, and if it wasn't written again meanwhile (a removal after a removal shows that, too). What the store's calls tell of an outage is kept in StoreContactTracker: a connection that the store ends shows contact until then, a silent call doesn't.

--- /dev/null
+++ b/src/coordination/RecordLapse.cpp
@@ -0,0 +1,64 @@
+// A record can't have lapsed if less time has passed since it can have been renewed last.
+#include "coordination/RecordLapse.h"
+
+namespace Ebonystack {
+namespace {
+
+constexpr int heartbeatsToLapse = 3;
+/// Upstreams renew their records about every heartbeat.
+constexpr double heartbeatTolerance = 0.25;
+
+/// The shortest time from a renewal of a record to its lapse.
+Duration minTimeToLapse(Duration heartbeat)
+{
+    return fromSeconds(toSeconds(heartbeat) * (heartbeatsToLapse - heartbeatTolerance));
+}
+
+/// Whether a record can have lapsed by `time` for want of contact since `lostAfter`. The last renewal may be
+/// a heartbeat older.
+bool canLapse(Instant lostAfter, Instant time, Duration heartbeat)
+{
+    return time - lostAfter >= minTimeToLapse(heartbeat) - heartbeat;
+}
+
+/// Until when a VM that is known to have this contact uses its upstream.
+Instant inUseUntil(const StoreContact& contact, Instant removedBy, Duration heartbeat, Instant now)
+{
+    if (contact.lostAfter)
+        return canLapse(*contact.lostAfter, removedBy, heartbeat) ? Instant::max() : now;
+    const auto& outage = contact.lastOutage;
+    const bool hasLapsed
+        = outage && canLapse(outage->beganAfter, std::min(removedBy, outage->endedBy), heartbeat);
+    return hasLapsed ? outage->endedBy + lapsedRecordGrace : now;
+}
+
+/// Whether an outage of this node, which may be one of the whole store, is later than the last sign of the
+/// store that the VM has reported.
+bool mayShareOutage(const StoreContact& vm, const StoreContact& local)
+{
+    if (vm.lostAfter || !vm.lastSeen)
+        return false;
+    return local.lostAfter || (local.lastOutage && *vm.lastSeen < local.lastOutage->endedBy);
+}
+
+} // namespace
+
+Instant inUseUntil(
+    const MissingRecord& record, const StoreReachability& reachability, Duration heartbeat, Instant now)
+{
+    const Instant removedBy = record.removed.heardAt;
+    const auto& writtenAfter = record.written.madeAfter;
+    if (writtenAfter && removedBy - *writtenAfter < minTimeToLapse(heartbeat))
+        return now;
+    const StoreContact& local = reachability.local();
+    const auto vm = reachability.contactOf(record.vm, now);
+    if (!vm) // only this node's contact says whether the whole store was away
+        return local.lostAfter
+            ? std::min(inUseUntil(local, removedBy, heartbeat, now), removedBy + lapsedRecordGrace)
+            : inUseUntil(local, removedBy, heartbeat, now);
+    if (mayShareOutage(*vm, local) && canLapse(*vm->lastSeen, removedBy, heartbeat))
+        return inUseUntil(local, removedBy, heartbeat, now);
+    return inUseUntil(*vm, removedBy, heartbeat, now);
+}
+
+} // namespace Ebonystack
--- /dev/null
+++ b/src/coordination/StoreContactTracker.h
@@ -0,0 +1,36 @@
+// Follows a node's own contact with the platform's store by the results of its calls.
+#pragma once
+
+#include "state/StoreContact.h"
+
+#include <cstdint>
+
+namespace Ebonystack {
+
+/// How a call to the store failed, or its connection between two calls.
+enum class StoreCallFailure : std::uint8_t {
+    ConnectionEnded, ///< the store's side ended the connection: it was in contact until then
+    NoResponse, ///< also when no connection could be opened
+    Rejected, ///< an error status, or a response that can't be used
+};
+
+/// Not thread-safe.
+class StoreContactTracker {
+public:
+    /// Called with a response that the store can't have sent before `sentAfter`.
+    void onResponse(Instant sentAfter, Instant now);
+    void onFailure(StoreCallFailure, Instant now);
+
+    const StoreContact& contact() const { return m_contact; }
+    /// For how long calls have been failing; zero while they don't.
+    Duration failingFor(Instant now) const;
+    /// When the last response arrived.
+    std::optional<Instant> lastResponseAt() const { return m_lastResponseAt; }
+
+private:
+    StoreContact m_contact;
+    std::optional<Instant> m_lastResponseAt;
+    std::optional<Instant> m_failingSince; // set while calls fail
+};
+
+} // namespace Ebonystack
--- a/src/coordination/StoreReachability.cpp
+++ b/src/coordination/StoreReachability.cpp
@@ -9,18 +9,47 @@
 
 } // namespace
 
-void StoreReachability::report(const VmId& vm, bool reachesStore, Instant now)
+StoreContact StoreReachability::contactAfter(const Report* previous, bool reachesStore, Instant now)
 {
-    m_reports.insert_or_assign(vm, Report { reachesStore, now });
+    StoreContact contact = previous ? previous->contact : StoreContact {};
+    if (!reachesStore) {
+        contact.lostAfter = contact.lostAfter.value_or(Instant()); // since when is not known
+        return contact;
+    }
+    if (contact.lostAfter)
+        contact.lastOutage = StoreOutage { *contact.lostAfter, now };
+    contact.lostAfter.reset();
+    contact.lastSeen = now;
+    return contact;
 }
 
-StoreReachabilityState StoreReachability::stateOf(const VmId& vm, Instant now) const
+void StoreReachability::report(
+    const VmId& vm, bool reachesStore, Instant now, const std::optional<StoreContact>& contact)
+{
+    const auto known = m_reports.find(vm);
+    const Report* previous = known == m_reports.end() ? nullptr : &known->second;
+    const Report report { reachesStore, now, contact ? *contact : contactAfter(previous, reachesStore, now) };
+    m_reports.insert_or_assign(vm, report);
+}
+
+const StoreReachability::Report* StoreReachability::recentReport(const VmId& vm, Instant now) const
 {
     const auto found = m_reports.find(vm);
-    if (found == m_reports.end() || now - found->second.at > reportLifetime)
+    return found == m_reports.end() || now - found->second.at > reportLifetime ? nullptr : &found->second;
+}
+
+StoreReachabilityState StoreReachability::stateOf(const VmId& vm, Instant now) const
+{
+    const Report* report = recentReport(vm, now);
+    if (!report)
         return StoreReachabilityState::Unknown;
-    return found->second.reachesStore ? StoreReachabilityState::Reachable
-                                      : StoreReachabilityState::Unreachable;
+    return report->reachesStore ? StoreReachabilityState::Reachable : StoreReachabilityState::Unreachable;
+}
+
+std::optional<StoreContact> StoreReachability::contactOf(const VmId& vm, Instant now) const
+{
+    const Report* report = recentReport(vm, now);
+    return report ? std::optional(report->contact) : std::nullopt;
 }
 
 } // namespace Ebonystack
--- a/src/coordination/StoreReachability.h
+++ b/src/coordination/StoreReachability.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include "state/Names.h"
+#include "state/StoreContact.h"
 #include "state/Time.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace Ebonystack {
 
@@ -19,17 +21,30 @@
 /// Not thread-safe.
 class StoreReachability {
 public:
-    /// Called when a VM's node reports whether it can reach the store.
-    void report(const VmId&, bool reachesStore, Instant now);
+    /// Called when a VM's node reports whether it can reach the store, and what it knows of its contact.
+    /// Nodes of the version before don't report a contact.
+    void report(const VmId&, bool reachesStore, Instant now, const std::optional<StoreContact>& = {});
+    /// Called with this node's own contact.
+    void setLocal(const StoreContact& contact) { m_local = contact; }
+
     StoreReachabilityState stateOf(const VmId&, Instant now) const;
+    /// Nothing if there is no recent report of the VM's node.
+    std::optional<StoreContact> contactOf(const VmId&, Instant now) const;
+    const StoreContact& local() const { return m_local; }
 
 private:
     struct Report {
         bool reachesStore;
         Instant at;
+        StoreContact contact;
     };
 
+    /// The contact of a node that reports only whether it reaches the store.
+    static StoreContact contactAfter(const Report* previous, bool reachesStore, Instant now);
+    const Report* recentReport(const VmId&, Instant now) const;
+
     std::map<VmId, Report> m_reports;
+    StoreContact m_local;
 };
 
 } // namespace Ebonystack
--- a/src/coordination/UpstreamDirectory.cpp
+++ b/src/coordination/UpstreamDirectory.cpp
@@ -1,4 +1,5 @@
-// Keeps the table of upstreams and drops those whose record has lapsed for longer than the grace period.
+// Keeps the table of upstreams and drops those that have left or whose record was missing for longer than the
+// grace period.
 #include "coordination/UpstreamDirectory.h"
 
 #include <algorithm>
@@ -42,7 +43,7 @@
         return accept(record, position, written);
     if (known != m_upstreams.end()) { // published, with no news in it
         known->second.expiresAt.reset();
-        known->second.lapsedWhileStoreUnreachable = false;
+        known->second.mayHaveLapsed = false;
         known->second.removed.reset();
     }
 }
@@ -80,39 +81,40 @@
     m_upstreams.erase(found);
 }
 
-void UpstreamDirectory::removeWhileStoreUnreachable(const InstanceId& instance, const ChangeTime& removed)
+void UpstreamDirectory::removeUnlessLapsed(const InstanceId& instance, const ChangeTime& removed)
 {
     m_doubted.erase(instance);
     const auto found = m_upstreams.find(instance);
     if (found == m_upstreams.end())
         return;
     ++m_version;
-    if (found->second.record.draining) {
-        end(found->second, removed, removed.heardAt);
+    KnownUpstream& upstream = found->second;
+    if (upstream.record.draining) {
+        end(upstream, removed, removed.heardAt);
         m_upstreams.erase(found);
         return;
     }
-    found->second.lapsedWhileStoreUnreachable = true;
-    found->second.removed = removed;
+    if (upstream.removed) // its record was written again and removed again, unheard
+        upstream.written = { removed.heardAt, removed.madeAfter };
+    upstream.removed = removed;
+    upstream.mayHaveLapsed = true;
+    upstream.expiresAt.reset();
 }
 
 void UpstreamDirectory::expire(const StoreReachability& reachability, Instant now)
 {
-    for (auto& [instance, upstream] : m_upstreams) {
-        if (!upstream.lapsedWhileStoreUnreachable)
-            continue;
-        const StoreReachabilityState state = reachability.stateOf(upstream.record.vm, now);
-        if (state == StoreReachabilityState::Unreachable)
-            continue;
-        ++m_version;
-        upstream.lapsedWhileStoreUnreachable = false;
-        upstream.expiresAt = state == StoreReachabilityState::Reachable ? now + lapsedRecordGrace : now;
-    }
+    const auto hasEnded = [&](const KnownUpstream& upstream) {
+        if (upstream.mayHaveLapsed)
+            return inUseUntil({ upstream.record.vm, upstream.written, *upstream.removed }, reachability,
+                       m_heartbeat, now)
+                <= now;
+        return upstream.expiresAt && *upstream.expiresAt <= now;
+    };
     m_version += std::erase_if(m_upstreams, [&](const auto& item) {
-        const bool hasEnded = item.second.expiresAt && *item.second.expiresAt <= now;
-        if (hasEnded)
-            end(item.second, item.second.removed.value_or(now), now);
-        return hasEnded;
+        if (!hasEnded(item.second))
+            return false;
+        end(item.second, item.second.removed.value_or(now), now);
+        return true;
     });
     m_version += std::erase_if(m_doubted, [&](const auto& item) {
         const DoubtedRecord& doubted = item.second;
@@ -177,9 +179,7 @@
 
 std::vector<VmId> UpstreamDirectory::publishedVms() const
 {
-    return vmsIf([](const KnownUpstream& upstream) {
-        return !upstream.expiresAt && !upstream.lapsedWhileStoreUnreachable;
-    });
+    return vmsIf([](const KnownUpstream& upstream) { return !upstream.removed; });
 }
 
 std::vector<VmId> UpstreamDirectory::vmsIn(const DataCentre& dataCentre) const
--- a/src/coordination/UpstreamDirectory.h
+++ b/src/coordination/UpstreamDirectory.h
@@ -1,9 +1,11 @@
 // The upstreams that can get requests, by the records that the platform publishes in its store. A record may
-// have lapsed only because the store could not be reached, or be missing because the store came back from a
-// copy. Such a record may be published again, so its upstream stays in use for a grace period. What upstreams
-// say of themselves outlives the store's eras: a copy does not take back that one is draining or has left.
+// have lapsed only because the store could not be reached (see RecordLapse.h), or be missing because the
+// store came back from a copy. Such a record may be published again, so its upstream stays in use for a grace
+// period. What upstreams say of themselves outlives the store's eras: a copy does not take back that one is
+// draining or has left.
 #pragma once
 
+#include "coordination/RecordLapse.h"
 #include "coordination/StoreReachability.h"
 #include "state/ChangeTime.h"
 #include "state/StorePosition.h"
@@ -21,18 +23,14 @@
     UpstreamRecord record;
     StorePosition position; ///< of the store, at the record's last write
     Instant coldUntil; ///< the upstream has just started and is slow until then
-    std::optional<Instant> expiresAt; ///< set when the record has lapsed: the upstream is dropped then
-    /// The record has lapsed while the VM could not reach the store.
-    bool lapsedWhileStoreUnreachable { false };
+    std::optional<Instant> expiresAt; ///< set when a grace period was given: the upstream is dropped then
+    bool mayHaveLapsed { false }; ///< dropped as soon as it is known to have left
     ChangeTime written { Instant() }; ///< the record's last write
     std::optional<ChangeTime> removed; ///< set while the store has no record of the upstream
 
     auto operator<=>(const KnownUpstream&) const = default;
 };
 
-/// Records that lapsed because the store could not be reached are published again within about this time
-/// after the store is reachable again.
-constexpr Duration lapsedRecordGrace = std::chrono::milliseconds(2200);
 /// Records that a restored store lacks are written again, and read, within about this time.
 constexpr Duration restoredRecordGrace = std::chrono::milliseconds(3000);
 /// A restored store removes the records of upstreams that have ended within this time.
@@ -41,7 +39,11 @@
 /// Not thread-safe.
 class UpstreamDirectory {
 public:
-    UpstreamDirectory() = default;
+    /// `heartbeat`: the interval at which upstreams renew their records.
+    explicit UpstreamDirectory(Duration heartbeat = std::chrono::milliseconds(1500))
+        : m_heartbeat(heartbeat)
+    {
+    }
     UpstreamDirectory(const UpstreamDirectory&) = delete;
     UpstreamDirectory& operator=(const UpstreamDirectory&) = delete;
 
@@ -51,10 +53,11 @@
     /// Called when a record was removed. With `graceUntil` the record may have lapsed only because the store
     /// could not be reached: the upstream stays in use until then, unless it is draining.
     void remove(const InstanceId&, std::optional<Instant> graceUntil, const ChangeTime&);
-    /// Called when a record was removed while its VM could not reach the store. Unless it is draining, the
-    /// upstream stays in use while that is so, and for `lapsedRecordGrace` after the VM reaches the store.
-    void removeWhileStoreUnreachable(const InstanceId&, const ChangeTime&);
-    /// Drops the upstreams whose record was not published again in time. Call it at regular intervals.
+    /// Called when a record was removed. Unless it is draining, the upstream stays in use for as long as
+    /// `inUseUntil` allows.
+    void removeUnlessLapsed(const InstanceId&, const ChangeTime&);
+    /// Drops the upstreams that have left, and those whose record was not published again in time. Call it
+    /// after removals and at regular intervals.
     void expire(const StoreReachability&, Instant now);
 
     /// The upstreams of a service that take new requests. An address has one upstream at a time: where
@@ -104,6 +107,7 @@
     template <typename Predicate> std::vector<VmId> vmsIf(Predicate&&) const;
     std::map<ServiceName, Upstreams> findUsable() const;
 
+    const Duration m_heartbeat;
     std::map<InstanceId, KnownUpstream> m_upstreams;
     std::map<InstanceId, DoubtedRecord> m_doubted;
     std::map<InstanceId, EndedUpstream> m_ended; // those of the last minutes
--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -136,6 +136,20 @@
     return load;
 }
 
+/// The members of a contact in the order of the wire.
+constexpr std::array contactMembers { &StoreContactAges::lastSeen, &StoreContactAges::lostAfter,
+    &StoreContactAges::outageBeganAfter, &StoreContactAges::outageEndedBy };
+
+Json encodeContact(const std::optional<StoreContactAges>& contact)
+{
+    if (!contact)
+        return {};
+    Json json = Json::array();
+    for (const auto member : contactMembers)
+        json.push_back(encodeAge(*contact.*member));
+    return json;
+}
+
 Json encodeLoad(const UpstreamLoad& load)
 {
     Json json = Json::array({ load.gate.running, load.gate.queued, load.gate.limit, load.shedShare,
@@ -171,8 +185,9 @@
 
 Json encode(const LinkHeartbeat& frame)
 {
-    Json json = Json::array({ encodeLoad(frame.load), frame.storeRevision, frame.reachesStore,
-        encodeOptional(frame.uptime), encodeOptional(frame.storeEra), encodeAge(frame.copyAge) });
+    Json json = Json::array(
+        { encodeLoad(frame.load), frame.storeRevision, frame.reachesStore, encodeOptional(frame.uptime),
+            encodeOptional(frame.storeEra), encodeAge(frame.copyAge), encodeContact(frame.storeContact) });
     removeTrailingNulls(json);
     return json;
 }
@@ -284,6 +299,16 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(*milliseconds));
 }
 
+std::optional<StoreContactAges> decodeContact(const Json& json, std::size_t index)
+{
+    if (json.size() <= index || json.at(index).is_null())
+        return std::nullopt;
+    StoreContactAges contact;
+    for (std::size_t i = 0; i < contactMembers.size(); ++i)
+        contact.*contactMembers.at(i) = decodeAge(json.at(index), i);
+    return contact;
+}
+
 PeerFrame decodeHeartbeat(const Json& json)
 {
     LinkHeartbeat heartbeat { decodeLoad(json.at(0)), json.at(1), json.at(2), std::nullopt };
@@ -291,6 +316,7 @@
         heartbeat.uptime = decodeOptional(json.at(3));
     heartbeat.storeEra = decodeEra(json, 4);
     heartbeat.copyAge = decodeAge(json, 5);
+    heartbeat.storeContact = decodeContact(json, 6);
     return heartbeat;
 }
 
--- a/src/protocol/PeerFrame.h
+++ b/src/protocol/PeerFrame.h
@@ -5,6 +5,7 @@
 
 #include "protocol/HttpMessage.h"
 #include "state/CostVector.h"
+#include "state/StoreContact.h"
 #include "state/StorePosition.h"
 #include "state/StoreUpdate.h"
 #include "state/UpstreamLoad.h"
@@ -41,6 +42,7 @@
     std::optional<double> uptime; ///< of the sender's process, in seconds; optional on the wire
     std::optional<std::uint64_t> storeEra; ///< of the revision; see StoreUpdate::era
     std::optional<Duration> copyAge; ///< since StoreMirror::confirmedAt; optional on the wire
+    std::optional<StoreContactAges> storeContact; ///< of the sender; optional on the wire
 
     auto operator<=>(const LinkHeartbeat&) const = default;
 };
--- a/src/protocol/SidecarSettings.cpp
+++ b/src/protocol/SidecarSettings.cpp
@@ -50,6 +50,7 @@
     reader.integer("descriptors", settings.descriptors, { 64, 1 << 24 }, Presence::Optional);
     reader.duration("grace", settings.grace, Presence::Optional);
     reader.duration("drain", settings.drain, Presence::Optional);
+    reader.duration("heartbeat", settings.heartbeat, Presence::Optional);
     reader.number("repeatRatio", settings.repeatRatio, { 0, 10 }, Presence::Optional);
     reader.duration("repeatWindow", settings.repeatWindow, Presence::Optional);
     reader.number("extraRepeats", settings.extraRepeats, { 0, 1e6 }, Presence::Optional);
--- a/src/protocol/SidecarSettings.h
+++ b/src/protocol/SidecarSettings.h
@@ -29,6 +29,7 @@
     std::uint32_t descriptors { 1024 };
     Duration grace { std::chrono::seconds(6) }; ///< time from SIGTERM until the process is killed
     Duration drain { std::chrono::seconds(2) }; ///< time after which a draining upstream gets no request
+    Duration heartbeat { std::chrono::milliseconds(1500) }; ///< at which upstreams renew their records
     double repeatRatio { 0.2 }; ///< see RetryLimits
     Duration repeatWindow { std::chrono::seconds(10) };
     double extraRepeats { 50 };
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -192,7 +192,7 @@
 
     void tickLinks(Instant now)
     {
-        m_storeReachability.report(m_localOrigin.vm, !m_store.isUnreachable(now), now);
+        observeStoreContact(now);
         m_state.directory.expire(m_storeReachability, now);
         if (std::exchange(m_directoryChanged, false) || now - m_peersRefreshedAt > housekeepingPeriod)
             refreshPeers(now);
@@ -201,6 +201,13 @@
         m_feed.tick(now);
     }
 
+    void observeStoreContact(Instant now)
+    {
+        const StoreContact& contact = m_store.contact();
+        m_storeReachability.setLocal(contact);
+        m_storeReachability.report(m_localOrigin.vm, !m_store.isUnreachable(now), now, contact);
+    }
+
     void refreshPeers(Instant now)
     {
         m_peersRefreshedAt = now;
@@ -256,24 +263,17 @@
         const KnownUpstream* upstream = m_state.directory.find(*instance);
         const bool vmLostStore = upstream
             && m_storeReachability.stateOf(upstream->record.vm, now) == StoreReachabilityState::Unreachable;
-        const auto recoveredAt = m_store.recoveredAt();
-        // A reader may tell of the removal before this node has noticed that the store is back.
-        const bool isStoreUnreachable = m_store.isUnreachable(now);
+        observeStoreContact(now);
+        const StoreContact& local = m_storeReachability.local();
         const bool storeWasUnreachable
-            = isStoreUnreachable || (recoveredAt && now < *recoveredAt + lapsedRecordGrace);
-        if (vmLostStore)
-            m_state.directory.removeWhileStoreUnreachable(*instance, changeTime(now));
-        else
-            m_state.directory.remove(*instance,
-                storeWasUnreachable
-                    ? std::optional((isStoreUnreachable ? now : *recoveredAt) + lapsedRecordGrace)
-                    : std::nullopt,
-                changeTime(now));
+            = local.lostAfter || (local.lastOutage && now < local.lastOutage->endedBy + lapsedRecordGrace);
+        m_state.directory.removeUnlessLapsed(*instance, changeTime(now));
+        m_state.directory.expire(m_storeReachability, now);
         m_directoryChanged = true;
         m_state.log.state("upstream entry removed", now, [&] {
             return nlohmann::json { { "instance", instance->text }, { "revision", item.revision },
                 { "lacksContact", vmLostStore }, { "storeWasAway", storeWasUnreachable },
-                { "newsAgeMs", newsAge(now) } };
+                { "kept", m_state.directory.find(*instance) != nullptr }, { "newsAgeMs", newsAge(now) } };
         });
     }
 
@@ -328,14 +328,16 @@
         const Instant now = monotonicNow();
         const auto confirmedAt = m_mirror.confirmedAt();
         return { m_hop.load(), m_mirror.revision(), !m_store.isUnreachable(now), toSeconds(now - m_startedAt),
-            m_mirror.era(), confirmedAt ? std::optional(now - *confirmedAt) : std::nullopt };
+            m_mirror.era(), confirmedAt ? std::optional(now - *confirmedAt) : std::nullopt,
+            agesOf(m_store.contact(), now) };
     }
 
     void onHeartbeat(const VmId& vm, const LinkHeartbeat& heartbeat) override
     {
         const Instant now = monotonicNow();
         m_state.recordLoadReport(vm, heartbeat.load, now);
-        m_storeReachability.report(vm, heartbeat.reachesStore, now);
+        m_storeReachability.report(vm, heartbeat.reachesStore, now,
+            heartbeat.storeContact ? std::optional(contactOf(*heartbeat.storeContact, now)) : std::nullopt);
         const StorePosition position { heartbeat.storeEra.value_or(m_mirror.era()), heartbeat.storeRevision };
         if (heartbeat.copyAge)
             m_mirror.confirm(position, now - *heartbeat.copyAge);
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -62,6 +62,7 @@
         : io(context)
         , settings(std::move(given))
         , adapter(platform)
+        , directory(settings.heartbeat)
         , costs(settings.service)
         , upstreamSelector(settings.dataCentre, seed)
         , retryBudget({ settings.repeatRatio, settings.repeatWindow, settings.extraRepeats })
--- a/src/transport/StoreReader.h
+++ b/src/transport/StoreReader.h
@@ -9,6 +9,7 @@
 #include "coordination/TimerService.h"
 #include "protocol/PlatformAdapter.h"
 #include "state/RandomSource.h"
+#include "state/StoreContact.h"
 #include "transport/DecisionLog.h"
 
 #include <boost/asio/io_context.hpp>
@@ -37,8 +38,7 @@
     /// pending watch.
     void setPlan(const StoreCallPlan&);
 
-    /// The end of the last outage that was long enough for records to lapse; nullopt before the first.
-    std::optional<Instant> recoveredAt() const;
+    const StoreContact& contact() const;
     /// Whether calls have been failing for more than 600 ms.
     bool isUnreachable(Instant now) const;
     std::optional<Instant> lastSuccessAt() const;
--- /dev/null
+++ b/test/correctness/RemovedRecordsAreNotTakenForLapsed.cpp
@@ -0,0 +1,119 @@
+// An upstream whose record was removed gets no more requests, unless the record can have lapsed for want of
+// contact.
+#include "coordination/StoreContactTracker.h"
+#include "coordination/UpstreamDirectory.h"
+#include "support/SidecarFixtures.h"
+
+#include <doctest/doctest.h>
+
+using namespace Ebonystack;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start { 100s };
+const InstanceId instance { "i-1" };
+const VmId vm { "10.0.0.1" };
+
+/// An upstream that was in contact with the store until `start`, and its directory on another node.
+struct PublishedUpstream {
+    PublishedUpstream()
+    {
+        directory.put(Testing::makeUpstreamRecord(instance.text, vm.text), { 0, 5 }, start - 60s);
+        reachability.setLocal(inContact);
+        reachability.report(vm, true, start, inContact);
+    }
+
+    void reportAt(Instant now, const StoreContact& contact)
+    {
+        reachability.report(vm, !contact.lostAfter, now, contact);
+    }
+
+    /// Whether the upstream is in use at `now`, when the news of its removal has come at `heardAt`.
+    bool isInUse(Instant heardAt, Instant now)
+    {
+        directory.removeUnlessLapsed(instance, heardAt);
+        directory.expire(reachability, now);
+        return directory.find(instance) != nullptr;
+    }
+
+    StoreContact inContact { start, {}, {} };
+    StoreContact lost { start, start, {} };
+    StoreReachability reachability;
+    UpstreamDirectory directory;
+};
+
+} // namespace
+
+TEST_CASE("a record that was written less than three heartbeats before its removal has not lapsed")
+{
+    PublishedUpstream upstream;
+    upstream.reachability.setLocal(upstream.lost);
+    upstream.directory.put(Testing::makeUpstreamRecord(instance.text, vm.text), { 0, 6 }, start + 9s);
+    upstream.reportAt(start + 10s, upstream.lost);
+    CHECK_FALSE(upstream.isInUse(start + 10s, start + 10s));
+}
+
+TEST_CASE("a record that is removed twice was written in between")
+{
+    PublishedUpstream upstream;
+    upstream.reportAt(start + 5s, upstream.lost);
+    CHECK(upstream.isInUse(start + 5s, start + 5s));
+    upstream.reportAt(start + 10s, upstream.lost);
+    CHECK_FALSE(upstream.isInUse(start + 10s, start + 10s));
+}
+
+TEST_CASE("a record that is removed when its VM has lost the store for a second has not lapsed")
+{
+    PublishedUpstream upstream;
+    upstream.reportAt(start + 1s, upstream.lost);
+    CHECK_FALSE(upstream.isInUse(start + 1s, start + 1s));
+}
+
+TEST_CASE("a record that is removed while the store is away for a second has not lapsed")
+{
+    StoreContactTracker tracker;
+    tracker.onResponse(start - 1s, start - 1s);
+    tracker.onFailure(StoreCallFailure::ConnectionEnded, start);
+    tracker.onFailure(StoreCallFailure::NoResponse, start + 300ms);
+    tracker.onResponse(start + 1s, start + 1s);
+    PublishedUpstream upstream;
+    upstream.reachability.setLocal(tracker.contact());
+    upstream.reportAt(start + 1100ms, tracker.contact());
+    CHECK_FALSE(upstream.isInUse(start + 1100ms, start + 1100ms));
+}
+
+TEST_CASE("an outage of this node alone keeps no upstream in use that was in contact all the time")
+{
+    PublishedUpstream upstream;
+    upstream.reachability.setLocal({ start + 10s, {}, StoreOutage { start, start + 10s } });
+    upstream.reportAt(start + 10100ms, { start + 10050ms, {}, {} });
+    CHECK_FALSE(upstream.isInUse(start + 10100ms, start + 10100ms));
+}
+
+TEST_CASE("records that lapse in an outage of the store stay in use, also before their VMs have noticed it")
+{
+    PublishedUpstream upstream;
+    const Instant back = start + 4s;
+    upstream.reachability.setLocal({ back, {}, StoreOutage { start, back } });
+    upstream.reportAt(back, { start - 100ms, {}, {} });
+    CHECK(upstream.isInUse(back, back));
+    upstream.reportAt(back + 1s, { back + 900ms, {}, StoreOutage { start - 100ms, back + 900ms } });
+    upstream.directory.expire(upstream.reachability, back + 1s);
+    CHECK(upstream.directory.find(instance));
+    upstream.reportAt(back + 4s, { back + 900ms, {}, StoreOutage { start - 100ms, back + 900ms } });
+    upstream.directory.expire(upstream.reachability, back + 4s);
+    CHECK(upstream.directory.find(instance) == nullptr);
+}
+
+TEST_CASE("a silent store may have been away since its last response, one that ends connections was not")
+{
+    StoreContactTracker tracker;
+    tracker.onResponse(start, start);
+    tracker.onFailure(StoreCallFailure::NoResponse, start + 3s);
+    CHECK(tracker.contact().lostAfter == start);
+    tracker.onResponse(start + 4s, start + 4s);
+    CHECK(tracker.contact().lastOutage == StoreOutage { start, start + 4s });
+    tracker.onFailure(StoreCallFailure::ConnectionEnded, start + 6s);
+    CHECK(tracker.contact().lostAfter == start + 6s);
+}
