Count the drain time from when an upstream can have begun to leave

The node beside an upstream accepted requests for half of the drain time from the moment at which it heard that the upstream leaves, however old the news was. A silent watch is renewed after 1.9 s, so requests could reach the upstream 2.9 s after the store had acknowledged its leaving, with no rule of ours broken on the way; and an upstream that fell out of use after a grace period got another half of the drain time.

A clock that starts when the news is heard now binds together with one that starts when it can have been spoken: the store was known to lack the change until then. No request is sent later than the drain time less the time that a new connection may take, and none if the age is not known, as after a restart.

LeavingUpstreamsAreRemembered: with the rule before, a request after news that was 1.9 s old was sent (`0 == 5`), and one after news of unknown age.

--- a/src/coordination/LocalUpstream.cpp
+++ b/src/coordination/LocalUpstream.cpp
@@ -64,10 +64,13 @@
     return m_drainingSince ? m_drainingSince : m_leavingSince;
 }
 
-bool LocalUpstream::hasDrainedFor(Duration time, Instant now) const
+bool LocalUpstream::hasDrained(const DrainTimes& times, Instant now) const
 {
-    return (m_drainingSince && now - m_drainingSince->heardAt > time)
-        || (m_leavingSince && now - *m_leavingSince > time);
+    const auto isOver = [&](const ChangeTime& since) {
+        return now - since.heardAt > times.afterNews || !since.madeAfter
+            || now - *since.madeAfter > times.afterLeaving;
+    };
+    return (m_drainingSince && isOver(*m_drainingSince)) || (m_leavingSince && isOver(*m_leavingSince));
 }
 
 } // namespace Ebonystack
--- a/src/coordination/LocalUpstream.h
+++ b/src/coordination/LocalUpstream.h
@@ -9,6 +9,14 @@
 
 namespace Ebonystack {
 
+/// For how long a leaving upstream is still sent requests. Both bind.
+struct DrainTimes {
+    Duration afterNews; ///< since this node heard of it
+    Duration afterLeaving; ///< since it can have been so
+
+    auto operator<=>(const DrainTimes&) const = default;
+};
+
 /// Not thread-safe.
 class LocalUpstream {
 public:
@@ -36,9 +44,9 @@
     /// When the first of these was heard, and since when it can be so; nothing if the upstream is not known
     /// to leave.
     std::optional<ChangeTime> leavingSince() const;
-    /// Whether the record or the responses have said for `time` or longer that the upstream takes no
-    /// requests.
-    bool hasDrainedFor(Duration time, Instant now) const;
+    /// Whether one of these times is over, or it is not known since when the record can have said that the
+    /// upstream is draining.
+    bool hasDrained(const DrainTimes&, Instant now) const;
 
 private:
     std::optional<UpstreamRecord> m_record;
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -100,7 +100,7 @@
         job->request = std::move(request);
         jobs[{ origin, job->request.number }] = job;
         ++openJobs;
-        if (localUpstream.hasDrainedFor(state.drainAcceptTime(), now))
+        if (localUpstream.hasDrained(state.drainTimes(), now))
             return finishNotRun(job, HopReason::UpstreamDraining);
         if (!state.canFinish(job->deadline))
             return finishNotRun(job, HopReason::NodeLeaving);
@@ -165,8 +165,8 @@
     {
         if (job.deadline - now < minTimeToRun)
             return HopReason::TooLate;
-        return localUpstream.hasDrainedFor(state.drainAcceptTime(), now) ? HopReason::UpstreamDraining
-                                                                         : HopReason::None;
+        return localUpstream.hasDrained(state.drainTimes(), now) ? HopReason::UpstreamDraining
+                                                                 : HopReason::None;
     }
 
     void startJob(GateTicket ticket, Instant now)
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/CallCosts.h"
+#include "coordination/LocalUpstream.h"
 #include "coordination/OverloadController.h"
 #include "coordination/RetryBudget.h"
 #include "coordination/TimerService.h"
@@ -55,6 +56,8 @@
 
 /// Share of the operator's drain time in which a leaving upstream is still sent requests.
 constexpr double drainAcceptShare = 0.5;
+/// A request may reach the upstream so much later than it is sent, when a connection has to be opened first.
+constexpr Duration maxSendDelay = std::chrono::milliseconds(600);
 
 struct SidecarState {
     SidecarState(boost::asio::io_context& context, SidecarSettings given, const PlatformAdapter& platform,
@@ -97,6 +100,7 @@
     /// How long after the news that it is leaving an upstream is sent requests. Entry nodes that know of it
     /// have stopped by then.
     Duration drainAcceptTime() const { return fromSeconds(toSeconds(settings.drain) * drainAcceptShare); }
+    DrainTimes drainTimes() const { return { drainAcceptTime(), settings.drain - maxSendDelay }; }
 
     bool isLeaving() const { return shutdownDeadline.has_value(); }
     /// Whether other nodes may send requests for the upstream. A leaving node accepts them until
--- a/test/correctness/LeavingUpstreamsAreRemembered.cpp
+++ b/test/correctness/LeavingUpstreamsAreRemembered.cpp
@@ -135,3 +135,35 @@
     fixture.requestAndWait(3, true); // the record had only lapsed
     CHECK(fixture.responses.back().outcome == HopOutcome::Responded);
 }
+
+TEST_CASE("a request is not sent when the news that the upstream is draining came late")
+{
+    const auto reasonAfterNews = [](std::optional<Duration> age) {
+        HopServiceFixture fixture(
+            [](const HttpRequest& request) { return ScriptedResponse { sealedResponse(request) }; });
+        const Instant now = fixture.state.now();
+        UpstreamRecord record = fixture.state.directory.newestAtAddress(fixture.upstream.address())->record;
+        record.draining = true;
+        fixture.state.directory.put(
+            record, { 0, 2 }, { now, age ? std::optional(now - *age) : std::nullopt });
+        fixture.hop.refreshUpstream(now);
+        fixture.requestAndWait(1, true);
+        return fixture.responses.at(0).reason;
+    };
+    CHECK(reasonAfterNews(100ms) == HopReason::None);
+    CHECK(reasonAfterNews(1900ms) == HopReason::UpstreamDraining);
+    CHECK(reasonAfterNews(std::nullopt) == HopReason::UpstreamDraining);
+}
+
+TEST_CASE("a request is not sent when the record was removed long before the upstream fell out of use")
+{
+    HopServiceFixture fixture(
+        [](const HttpRequest& request) { return ScriptedResponse { sealedResponse(request) }; });
+    const Instant now = fixture.state.now();
+    const UpstreamRecord record = fixture.state.directory.newestAtAddress(fixture.upstream.address())->record;
+    fixture.state.directory.remove(record.instance, now, now - 3s);
+    fixture.state.directory.expire({}, now);
+    fixture.hop.refreshUpstream(now);
+    fixture.requestAndWait(1, true);
+    CHECK(fixture.responses.at(0).reason == HopReason::UpstreamDraining);
+}
--- a/test/correctness/LocalUpstreamFollowsResponses.cpp
+++ b/test/correctness/LocalUpstreamFollowsResponses.cpp
@@ -68,8 +68,8 @@
     upstream.onResponse(leaving, start, start + 1s);
     upstream.onResponse({}, start + 2s, start + 3s);
     CHECK(upstream.isLeaving());
-    CHECK_FALSE(upstream.hasDrainedFor(1s, start + 2s));
-    CHECK(upstream.hasDrainedFor(1s, start + 2500ms));
+    CHECK_FALSE(upstream.hasDrained({ 1s, 2s }, start + 2s));
+    CHECK(upstream.hasDrained({ 1s, 2s }, start + 2500ms));
     UpstreamRecord record = Testing::makeUpstreamRecord("i-1", "10.0.0.1");
     record.startedAt = 1;
     upstream.setRecord(record, start + 3s);
