Count the grace period of a lapsed record from when its VM can have been back

Cause: the record had lapsed behind a cut. The VM was back at 72.0; its upstream left at 72.615 without having published its record again, so there was no change that anybody could hear. Its node saw the store again up to 0.8 s after the return, and the grace period of 2.2 s ran from then: to 75.06.

The upstream can't have told the store anything before its VM was back, and that was not before the last failed call was begun. The grace period now runs from there; nodes report that time with their contact.

RemovedRecordsAreNotTakenForLapsed and DirectoryTracksUpstreamRecords fail with the rule before (in use at the end of the grace period). In the latter the VM now reports twice, since the grace period begins with the last report that it lacked contact.

--- a/src/coordination/RecordLapse.cpp
+++ b/src/coordination/RecordLapse.cpp
@@ -29,7 +29,7 @@
     const auto& outage = contact.lastOutage;
     const bool hasLapsed
         = outage && canLapse(outage->beganAfter, std::min(removedBy, outage->endedBy), heartbeat);
-    return hasLapsed ? outage->endedBy + lapsedRecordGrace : now;
+    return hasLapsed ? outage->endedAfter + lapsedRecordGrace : now;
 }
 
 /// Whether an outage of this node, which may be one of the whole store, is later than the last sign of the
--- a/src/coordination/StoreContactTracker.cpp
+++ b/src/coordination/StoreContactTracker.cpp
@@ -6,15 +6,16 @@
 void StoreContactTracker::onResponse(Instant sentAfter, Instant now)
 {
     if (m_contact.lostAfter)
-        m_contact.lastOutage = StoreOutage { *m_contact.lostAfter, now };
+        m_contact.lastOutage = StoreOutage { *m_contact.lostAfter, m_lastFailureBegunAt, now };
     m_contact.lostAfter.reset();
     m_contact.lastSeen = sentAfter;
     m_lastResponseAt = now;
     m_failingSince.reset();
 }
 
-void StoreContactTracker::onFailure(StoreCallFailure failure, Instant now)
+void StoreContactTracker::onFailure(StoreCallFailure failure, Instant begunAt, Instant now)
 {
+    m_lastFailureBegunAt = failure == StoreCallFailure::ConnectionEnded ? now : begunAt;
     if (m_failingSince)
         return;
     m_failingSince = now;
--- a/src/coordination/StoreContactTracker.h
+++ b/src/coordination/StoreContactTracker.h
@@ -19,7 +19,8 @@
 public:
     /// Called with a response that the store can't have sent before `sentAfter`.
     void onResponse(Instant sentAfter, Instant now);
-    void onFailure(StoreCallFailure, Instant now);
+    /// Called with when the call was begun, or with `now` if none was under way.
+    void onFailure(StoreCallFailure, Instant begunAt, Instant now);
 
     const StoreContact& contact() const { return m_contact; }
     /// For how long calls have been failing; zero while they don't.
@@ -31,6 +32,7 @@
     StoreContact m_contact;
     std::optional<Instant> m_lastResponseAt;
     std::optional<Instant> m_failingSince; // set while calls fail
+    Instant m_lastFailureBegunAt;
 };
 
 } // namespace Ebonystack
--- a/src/coordination/StoreReachability.cpp
+++ b/src/coordination/StoreReachability.cpp
@@ -17,7 +17,7 @@
         return contact;
     }
     if (contact.lostAfter)
-        contact.lastOutage = StoreOutage { *contact.lostAfter, now };
+        contact.lastOutage = StoreOutage { *contact.lostAfter, previous->at, now };
     contact.lostAfter.reset();
     contact.lastSeen = now;
     return contact;
--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -138,7 +138,8 @@
 
 /// The members of a contact in the order of the wire.
 constexpr std::array contactMembers { &StoreContactAges::lastSeen, &StoreContactAges::lostAfter,
-    &StoreContactAges::outageBeganAfter, &StoreContactAges::outageEndedBy };
+    &StoreContactAges::outageBeganAfter, &StoreContactAges::outageEndedAfter,
+    &StoreContactAges::outageEndedBy };
 
 Json encodeContact(const std::optional<StoreContactAges>& contact)
 {
--- a/src/state/StoreContact.h
+++ b/src/state/StoreContact.h
@@ -12,6 +12,7 @@
 /// A time in which calls to the store failed.
 struct StoreOutage {
     Instant beganAfter; ///< the last sign of the store before it
+    Instant endedAfter; ///< when the last call that failed was begun
     Instant endedBy; ///< the first response after it
 
     auto operator<=>(const StoreOutage&) const = default;
@@ -29,7 +30,8 @@
 struct StoreContactAges {
     std::optional<Duration> lastSeen;
     std::optional<Duration> lostAfter;
-    std::optional<Duration> outageBeganAfter; ///< this and the next are set together
+    std::optional<Duration> outageBeganAfter; ///< this and the next two are set together
+    std::optional<Duration> outageEndedAfter;
     std::optional<Duration> outageEndedBy;
 
     auto operator<=>(const StoreContactAges&) const = default;
--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -51,6 +51,7 @@
         std::optional<TimerId> timeout; // of the call in flight, or the delay before the next call
         Call call { Call::Listing }; // the call in flight, or the last one
         std::uint64_t askedEra { 0 }; // of the mirror, when the call in flight was sent
+        Instant begunAt; // when the call in flight was begun, with the connection that it needs
         Instant sentAt; // when the call in flight was sent
         std::optional<Duration> watchWait; // of the watch in flight; nothing while another call is
         std::vector<StoreItem> listedItems; // from the pages received so far
@@ -96,6 +97,7 @@
     void connect()
     {
         const std::uint64_t generation = ++connection->generation;
+        connection->begunAt = monotonicNow();
         connectStream(io, address, connectTimeout,
             [weak = weak_from_this(), generation](std::shared_ptr<ByteStream> stream) {
                 const auto self = weak.lock();
@@ -108,7 +110,7 @@
                     std::weak_ptr<Internals>(self), self->connection,
                     [](Internals& reader, const auto&, std::string_view bytes) { reader.onBytes(bytes); },
                     [](Internals& reader, const auto&, StreamEnd) { reader.onConnectionEnd(); });
-                self->sendRequest();
+                self->sendOnConnection();
             });
     }
 
@@ -116,6 +118,12 @@
     {
         if (!connection->stream || !connection->stream->isOpen())
             return connect();
+        connection->begunAt = monotonicNow();
+        sendOnConnection();
+    }
+
+    void sendOnConnection()
+    {
         // After a failure the first watch returns at once, so that recovery is detected even if nothing
         // changes in the store.
         const bool isRetry = connection->failures > 0;
@@ -345,7 +353,7 @@
         closeStream();
         resetListing();
         const Instant now = monotonicNow();
-        tracker.onFailure(failure, now);
+        tracker.onFailure(failure, connection->begunAt, now);
         // The connection alone may have gone silent; then a new one is the whole repair.
         const bool retriesAtOnce
             = failure == StoreCallFailure::NoResponse && connection->watchWait && connection->failures == 0;
--- a/test/correctness/DirectoryTracksUpstreamRecords.cpp
+++ b/test/correctness/DirectoryTracksUpstreamRecords.cpp
@@ -104,8 +104,9 @@
     auto& [reachability, directory] = lapsed;
     directory.expire(reachability, start + 2s);
     CHECK(usable(directory).size() == 1);
-    reachability.report({ "10.0.0.1" }, true, start + 4s);
-    directory.expire(reachability, start + 4s);
+    reachability.report({ "10.0.0.1" }, false, start + 4s);
+    reachability.report({ "10.0.0.1" }, true, start + 4500ms);
+    directory.expire(reachability, start + 4500ms);
     CHECK(usable(directory).size() == 1);
     directory.expire(reachability, start + 4s + lapsedRecordGrace);
     CHECK(usable(directory).empty());
--- a/test/correctness/RemovedRecordsAreNotTakenForLapsed.cpp
+++ b/test/correctness/RemovedRecordsAreNotTakenForLapsed.cpp
@@ -74,8 +74,8 @@
 {
     StoreContactTracker tracker;
     tracker.onResponse(start - 1s, start - 1s);
-    tracker.onFailure(StoreCallFailure::ConnectionEnded, start);
-    tracker.onFailure(StoreCallFailure::NoResponse, start + 300ms);
+    tracker.onFailure(StoreCallFailure::ConnectionEnded, start, start);
+    tracker.onFailure(StoreCallFailure::NoResponse, start + 100ms, start + 300ms);
     tracker.onResponse(start + 1s, start + 1s);
     PublishedUpstream upstream;
     upstream.reachability.setLocal(tracker.contact());
@@ -86,7 +86,7 @@
 TEST_CASE("an outage of this node alone keeps no upstream in use that was in contact all the time")
 {
     PublishedUpstream upstream;
-    upstream.reachability.setLocal({ start + 10s, {}, StoreOutage { start, start + 10s } });
+    upstream.reachability.setLocal({ start + 10s, {}, StoreOutage { start, start + 10s, start + 10s } });
     upstream.reportAt(start + 10100ms, { start + 10050ms, {}, {} });
     CHECK_FALSE(upstream.isInUse(start + 10100ms, start + 10100ms));
 }
@@ -95,13 +95,13 @@
 {
     PublishedUpstream upstream;
     const Instant back = start + 4s;
-    upstream.reachability.setLocal({ back, {}, StoreOutage { start, back } });
+    upstream.reachability.setLocal({ back, {}, StoreOutage { start, back, back } });
     upstream.reportAt(back, { start - 100ms, {}, {} });
     CHECK(upstream.isInUse(back, back));
-    upstream.reportAt(back + 1s, { back + 900ms, {}, StoreOutage { start - 100ms, back + 900ms } });
+    upstream.reportAt(back + 1s, { back + 900ms, {}, StoreOutage { start - 100ms, back, back + 900ms } });
     upstream.directory.expire(upstream.reachability, back + 1s);
     CHECK(upstream.directory.find(instance));
-    upstream.reportAt(back + 4s, { back + 900ms, {}, StoreOutage { start - 100ms, back + 900ms } });
+    upstream.reportAt(back + 4s, { back + 900ms, {}, StoreOutage { start - 100ms, back, back + 900ms } });
     upstream.directory.expire(upstream.reachability, back + 4s);
     CHECK(upstream.directory.find(instance) == nullptr);
 }
@@ -110,10 +110,28 @@
 {
     StoreContactTracker tracker;
     tracker.onResponse(start, start);
-    tracker.onFailure(StoreCallFailure::NoResponse, start + 3s);
+    tracker.onFailure(StoreCallFailure::NoResponse, start + 1500ms, start + 3s);
     CHECK(tracker.contact().lostAfter == start);
     tracker.onResponse(start + 4s, start + 4s);
-    CHECK(tracker.contact().lastOutage == StoreOutage { start, start + 4s });
-    tracker.onFailure(StoreCallFailure::ConnectionEnded, start + 6s);
+    CHECK(tracker.contact().lastOutage == StoreOutage { start, start + 1500ms, start + 4s });
+    tracker.onFailure(StoreCallFailure::ConnectionEnded, start + 4s, start + 6s);
     CHECK(tracker.contact().lostAfter == start + 6s);
 }
+
+TEST_CASE("the grace period of a lapsed record counts from when its VM can have been back, not from when it "
+          "notices")
+{
+    StoreContactTracker tracker;
+    tracker.onResponse(start, start);
+    tracker.onFailure(StoreCallFailure::NoResponse, start + 1s, start + 3s);
+    tracker.onFailure(StoreCallFailure::NoResponse, start + 9s, start + 9700ms);
+    tracker.onResponse(start + 10s, start + 10s);
+    PublishedUpstream upstream;
+    upstream.reportAt(start + 5s, upstream.lost);
+    CHECK(upstream.isInUse(start + 5s, start + 5s));
+    upstream.reportAt(start + 10s, tracker.contact());
+    upstream.directory.expire(upstream.reachability, start + 9s + lapsedRecordGrace - 1ms);
+    CHECK(upstream.directory.find(instance));
+    upstream.directory.expire(upstream.reachability, start + 9s + lapsedRecordGrace);
+    CHECK(upstream.directory.find(instance) == nullptr);
+}
