A stream on which an operation has failed ends as broken

Cause: the system reports the error of a connection to one operation. ByteStream::flush dropped it and left the end to the read side, which then read 0 and reported a normal close; that completes a response without a length.

Evidence, from a trace of the system calls of ResponsesEndOrderly on the code before: sendto(12, "POST /x/1 HTTP/1.1"..., 8000056) = -1 ECONNRESET (Connection reset by peer) recvfrom(12, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\naaaa", 65536) = 32 recvfrom(12, "", 65536) = 0

Why the fix works: the stream remembers the failed operation (write, or the peek at an idle connection), delivers the bytes that came before, and ends as broken whatever the read returns. Only upstream responses take an end for the end of a message; store calls, links, callers and status pages don't (docs/incidents/cut-off-response.md).

--- a/src/transport/ByteStream.cpp
+++ b/src/transport/ByteStream.cpp
@@ -80,7 +80,7 @@
 
 void ByteStream::write(std::string_view bytes)
 {
-    if (!isOpen())
+    if (!isOpen() || m_hasFailed)
         return;
     m_output.append(bytes);
     if (m_flushPosted || m_awaitsWritable)
@@ -113,7 +113,10 @@
 {
     char byte = 0;
     const auto count = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        return false;
+    m_hasFailed = m_hasFailed || count < 0;
+    return true;
 }
 
 void ByteStream::awaitReadable()
@@ -131,7 +134,7 @@
     if (error == Asio::error::would_block || error == Asio::error::try_again)
         return awaitReadable();
     if (error)
-        return end(error == Asio::error::eof ? StreamEnd::Closed : StreamEnd::Broken);
+        return end(error == Asio::error::eof && !m_hasFailed ? StreamEnd::Closed : StreamEnd::Broken);
     // A copy: the callback may close the stream, which resets m_onBytes.
     if (const OnBytes onBytes = m_onBytes)
         onBytes({ sharedReadBuffer.data(), count });
@@ -147,6 +150,7 @@
     const std::size_t count = m_socket.write_some(Asio::buffer(m_output.data() + m_sent, unsent()), error);
     if (error && error != Asio::error::would_block && error != Asio::error::try_again) {
         // Bytes that the peer sent before the error are still to be read, so the read side reports the end.
+        m_hasFailed = true;
         m_output.clear();
         m_sent = 0;
         if (m_closesAfterWriting)
--- a/src/transport/ByteStream.h
+++ b/src/transport/ByteStream.h
@@ -16,8 +16,8 @@
 
 /// How a connection ended.
 enum class StreamEnd {
-    Closed, ///< the peer closed the connection normally
-    Broken, ///< reset, or timed out
+    Closed, ///< the peer closed the connection normally, and no error was reported before
+    Broken, ///< reset, timed out, or ended after an error on any operation
 };
 
 /// Belongs to the event loop's thread. No callback is called after `close`.
@@ -39,6 +39,9 @@
     void closeAfterWriting();
     void close();
     bool isOpen() const { return m_socket.is_open(); }
+    /// Whether an operation on the socket has failed, so that the connection ends once its received bytes are
+    /// read.
+    bool hasFailed() const { return m_hasFailed; }
     /// Whether the peer has closed the connection or sent bytes that are not read yet. Makes a system call.
     bool hasUnreadData();
 
@@ -58,6 +61,9 @@
     bool m_flushPosted { false };
     bool m_awaitsWritable { false };
     bool m_closesAfterWriting { false };
+    // Once set, the end is Broken. The system reports an error to one operation only; after a write that
+    // failed with a reset, a read returns the same as after a normal close.
+    bool m_hasFailed { false };
 };
 
 /// Starts a stream whose callbacks run only while both `owner` and `context` exist: `onBytes` and `onEnd` are
--- a/src/transport/UpstreamConnectionPool.cpp
+++ b/src/transport/UpstreamConnectionPool.cpp
@@ -182,7 +182,7 @@
         connection->keepAliveTimeout = keepAliveTimeoutOf(response.head.fields);
         const bool reusable = response.head.keepAlive && connection->input.empty()
             && !connection->hadStrayResponse && !connection->carried.isFull()
-            && connection->stream->unsent() == 0;
+            && connection->stream->unsent() == 0 && !connection->stream->hasFailed();
         finish(connection, UpstreamResult::Kind::Responded, std::move(response), reusable);
     }
 
--- a/test/fuzz/DecodersHandleMalformedInput.cpp
+++ b/test/fuzz/DecodersHandleMalformedInput.cpp
@@ -6,11 +6,13 @@
 #include "lab/ScenarioParser.h"
 #include "protocol/SidecarSettings.h"
 #include "state/RandomSource.h"
+#include "support/RawUpstream.h"
 #include "transport/HttpCodec.h"
 
 #include <doctest/doctest.h>
 
 using namespace Ebonystack;
+using namespace Ebonystack::Testing;
 
 namespace {
 
@@ -111,6 +113,34 @@
         });
 }
 
+// Guards against a cut that looks like the end of a response.
+TEST_CASE("a damaged response without a length is complete only after an orderly end, wherever it is cut off")
+{
+    const auto isCompleteWithoutEnd = [](const std::string& text) {
+        ResponseParser parser(false, 1 << 20);
+        parser.feed(text);
+        return parser.done();
+    };
+    constexpr int exchanges = 300;
+    RandomSource random(20261206);
+    int incomplete = 0;
+    for (int i = 0; i < exchanges; ++i) {
+        std::string text = damaged("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\n\r\nhello hello", random);
+        text.resize(random.below(text.size() + 1));
+        RawUpstream upstream(random.below(2) * (8 << 20));
+        upstream.runNode(static_cast<int>(random.below(4)));
+        upstream.send(text);
+        upstream.runNode(static_cast<int>(random.below(6)));
+        upstream.reset();
+        REQUIRE(upstream.awaitResult());
+        if (isCompleteWithoutEnd(text))
+            continue;
+        ++incomplete;
+        CHECK_MESSAGE(upstream.result->kind != UpstreamResult::Kind::Responded, text);
+    }
+    CHECK(incomplete > exchanges / 2);
+}
+
 TEST_CASE("no damaged scenario file crashes the parser")
 {
     decodeDamaged(
