Don't take a connection that timed out for a sign of the store

Only an end or a reset that the store's side sent shows contact (StreamEnd::Reset is told from Broken). Retries in an outage wait 0.7 s instead of 2 s, but every third, so that its end is known more closely; the grace period of 2.5 s still ends within 3 s of the earliest return. Any response is a sign of contact when it arrives.

StoreCallsTimeOut fails with the timeouts before (all retries 2 s).

--- a/src/coordination/RecordLapse.h
+++ b/src/coordination/RecordLapse.h
@@ -9,9 +9,9 @@
 
 namespace Ebonystack {
 
-/// Records that lapsed because the store could not be reached are published again within about this time
-/// after the store is reachable again.
-constexpr Duration lapsedRecordGrace = std::chrono::milliseconds(2200);
+/// Records that lapsed because the store could not be reached are published again within about 2 s after the
+/// store is reachable again, and heard of within half a second.
+constexpr Duration lapsedRecordGrace = std::chrono::milliseconds(2500);
 
 /// A record that the store has no longer.
 struct MissingRecord {
--- a/src/coordination/StoreCallTimeout.cpp
+++ b/src/coordination/StoreCallTimeout.cpp
@@ -10,6 +10,8 @@
 
 constexpr Duration minTimeout = 500ms;
 constexpr Duration maxTimeout = 2s;
+constexpr Duration retryTimeout = 700ms;
+constexpr int retriesPerLongOne = 3;
 constexpr int responseTimeFactor = 4;
 /// What remains of an earlier response time after each call.
 constexpr double responseTimeDecay = 0.75;
@@ -22,9 +24,12 @@
     m_slowestResponse = std::max(time, decayed);
 }
 
-Duration StoreCallTimeout::silentAfter(bool isRetry) const
+Duration StoreCallTimeout::silentAfter(int failures) const
 {
-    return isRetry ? maxTimeout : std::clamp(m_slowestResponse * responseTimeFactor, minTimeout, maxTimeout);
+    const Duration usual = std::clamp(m_slowestResponse * responseTimeFactor, minTimeout, maxTimeout);
+    if (failures == 0)
+        return usual;
+    return failures % retriesPerLongOne == 0 ? maxTimeout : std::max(usual, retryTimeout);
 }
 
 } // namespace Ebonystack
--- a/src/coordination/StoreCallTimeout.h
+++ b/src/coordination/StoreCallTimeout.h
@@ -13,8 +13,10 @@
     /// Called with the time from a call to its response, without the time that the store was asked to wait.
     void recordResponseTime(Duration);
     /// How long after the call, or after the time that the store was asked to wait, it counts as silent.
-    /// `isRetry`: the call before it failed.
-    Duration silentAfter(bool isRetry) const;
+    /// `failures`: how many calls in a row have failed before it. Most retries are short, so that the end of
+    /// an outage is known closely; some are long, so that a store that has become slow is not taken for a
+    /// silent one.
+    Duration silentAfter(int failures) const;
 
 private:
     Duration m_slowestResponse { 0 }; // of the last calls; decays
--- a/src/coordination/StoreContactTracker.cpp
+++ b/src/coordination/StoreContactTracker.cpp
@@ -3,12 +3,12 @@
 
 namespace Ebonystack {
 
-void StoreContactTracker::onResponse(Instant sentAfter, Instant now)
+void StoreContactTracker::onResponse(Instant now)
 {
     if (m_contact.lostAfter)
         m_contact.lastOutage = StoreOutage { *m_contact.lostAfter, m_lastFailureBegunAt, now };
     m_contact.lostAfter.reset();
-    m_contact.lastSeen = sentAfter;
+    m_contact.lastSeen = now;
     m_lastResponseAt = now;
     m_failingSince.reset();
 }
--- a/src/coordination/StoreContactTracker.h
+++ b/src/coordination/StoreContactTracker.h
@@ -10,15 +10,14 @@
 /// How a call to the store failed, or its connection between two calls.
 enum class StoreCallFailure : std::uint8_t {
     ConnectionEnded, ///< the store's side ended the connection: it was in contact until then
-    NoResponse, ///< also when no connection could be opened
+    NoResponse, ///< also when no connection could be opened, or one timed out
     Rejected, ///< an error status, or a response that can't be used
 };
 
 /// Not thread-safe.
 class StoreContactTracker {
 public:
-    /// Called with a response that the store can't have sent before `sentAfter`.
-    void onResponse(Instant sentAfter, Instant now);
+    void onResponse(Instant now);
     /// Called with when the call was begun, or with `now` if none was under way.
     void onFailure(StoreCallFailure, Instant begunAt, Instant now);
 
--- a/src/transport/ByteStream.cpp
+++ b/src/transport/ByteStream.cpp
@@ -63,6 +63,13 @@
     return Tcp::endpoint(host, port);
 }
 
+StreamEnd endOf(const ErrorCode& error)
+{
+    if (error == Asio::error::eof)
+        return StreamEnd::Closed;
+    return error == Asio::error::connection_reset ? StreamEnd::Reset : StreamEnd::Broken;
+}
+
 } // namespace
 
 ByteStream::ByteStream(Tcp::socket socket)
@@ -134,7 +141,7 @@
     if (error == Asio::error::would_block || error == Asio::error::try_again)
         return awaitReadable();
     if (error)
-        return end(error == Asio::error::eof && !m_hasFailed ? StreamEnd::Closed : StreamEnd::Broken);
+        return end(m_hasFailed ? StreamEnd::Broken : endOf(error));
     // A copy: the callback may close the stream, which resets m_onBytes.
     if (const OnBytes onBytes = m_onBytes)
         onBytes({ sharedReadBuffer.data(), count });
--- a/src/transport/ByteStream.h
+++ b/src/transport/ByteStream.h
@@ -17,7 +17,8 @@
 /// How a connection ended.
 enum class StreamEnd {
     Closed, ///< the peer closed the connection normally, and no error was reported before
-    Broken, ///< reset, timed out, or ended after an error on any operation
+    Reset, ///< the peer reset the connection
+    Broken, ///< timed out, or ended after an error on any operation
 };
 
 /// Belongs to the event loop's thread. No callback is called after `close`.
--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -109,7 +109,7 @@
                 startCurrentStream(
                     std::weak_ptr<Internals>(self), self->connection,
                     [](Internals& reader, const auto&, std::string_view bytes) { reader.onBytes(bytes); },
-                    [](Internals& reader, const auto&, StreamEnd) { reader.onConnectionEnd(); });
+                    [](Internals& reader, const auto&, StreamEnd how) { reader.onConnectionEnd(how); });
                 self->sendOnConnection();
             });
     }
@@ -134,11 +134,11 @@
         connection->call = nextCall();
         if (connection->call == Call::Probe) {
             target = adapter.probeTarget();
-            timeout = probeTimeout;
+            timeout = isRetry ? callTimeout.silentAfter(connection->failures) : probeTimeout;
         } else if (connection->call == Call::Watch) {
             const Duration wait = isRetry ? recoveryWait : plan.watchWait;
             target = adapter.watchTarget(adapter.publishedPrefix(), mirror.revision(), wait);
-            timeout = wait + callTimeout.silentAfter(isRetry);
+            timeout = wait + callTimeout.silentAfter(connection->failures);
             connection->watchWait = wait;
         } else {
             target = adapter.pageTarget(adapter.publishedPrefix(),
@@ -178,11 +178,13 @@
 
     /// The end of a connection may be the store's response to a call, but not to a watch that it has
     /// accepted.
-    void onConnectionEnd()
+    void onConnectionEnd(StreamEnd how)
     {
         const bool isResponse = connection->parser && connection->call != Call::Watch;
         fail("the connection to the store ended",
-            isResponse ? StoreCallFailure::Rejected : StoreCallFailure::ConnectionEnded);
+            how == StreamEnd::Broken ? StoreCallFailure::NoResponse
+                : isResponse         ? StoreCallFailure::Rejected
+                                     : StoreCallFailure::ConnectionEnded);
     }
 
     void onBytes(std::string_view bytes)
@@ -212,7 +214,7 @@
             if (status != statusOk && status != statusNotFound)
                 return fail("expected HTTP status 200 or 404, got " + std::to_string(status));
             callTimeout.recordResponseTime(monotonicNow() - connection->sentAt);
-            return onSuccess(true, connection->sentAt, std::nullopt);
+            return onSuccess(true, std::nullopt);
         }
         if (era < mirror.era())
             return fail("the response is of an earlier era of the store");
@@ -239,16 +241,16 @@
         const bool hasWaited = connection->watchWait && mirror.revision() == known && took >= wait;
         if (hasWaited || !connection->watchWait)
             callTimeout.recordResponseTime(took - wait);
+        // The store can't have responded before.
         const Instant sentAfter = connection->sentAt + (hasWaited ? wait : Duration::zero());
         if (connection->call == Call::Watch)
-            return onSuccess(!hasWaited, sentAfter, sentAfter);
-        onSuccess(true, sentAfter, hasListing() ? std::optional(connection->listingSentAt) : std::nullopt);
+            return onSuccess(!hasWaited, sentAfter);
+        onSuccess(true, hasListing() ? std::optional(connection->listingSentAt) : std::nullopt);
     }
 
-    /// `pauses`: the next call is made after the plan's interval, and not at once. `sentAfter`: the store
-    /// can't have sent the response before. `confirmedAt`: the store had no change then that the mirror lacks
-    /// now.
-    void onSuccess(bool pauses, Instant sentAfter, std::optional<Instant> confirmedAt)
+    /// `pauses`: the next call is made after the plan's interval, and not at once. `confirmedAt`: the store
+    /// had no change then that the mirror lacks now.
+    void onSuccess(bool pauses, std::optional<Instant> confirmedAt)
     {
         if (connection->failures > 0) {
             log.state("store regained", monotonicNow(), [&] {
@@ -257,7 +259,7 @@
             });
         }
         connection->failures = 0;
-        tracker.onResponse(sentAfter, monotonicNow());
+        tracker.onResponse(monotonicNow());
         if (connection->call != Call::Probe && onChanges)
             onChanges();
         // Only now: what the subscriber passes on may be older.
@@ -377,7 +379,7 @@
         if (!connection->parser || !connection->watchWait || *connection->watchWait <= plan.watchWait)
             return;
         connection->watchWait = plan.watchWait;
-        const Instant due = connection->sentAt + plan.watchWait + callTimeout.silentAfter(false);
+        const Instant due = connection->sentAt + plan.watchWait + callTimeout.silentAfter(0);
         schedule(std::max<Duration>(due - monotonicNow(), Duration::zero()), &Internals::onTimeout);
     }
 
--- a/test/correctness/RemovedRecordsAreNotTakenForLapsed.cpp
+++ b/test/correctness/RemovedRecordsAreNotTakenForLapsed.cpp
@@ -73,10 +73,10 @@
 TEST_CASE("a record that is removed while the store is away for a second has not lapsed")
 {
     StoreContactTracker tracker;
-    tracker.onResponse(start - 1s, start - 1s);
+    tracker.onResponse(start - 1s);
     tracker.onFailure(StoreCallFailure::ConnectionEnded, start, start);
     tracker.onFailure(StoreCallFailure::NoResponse, start + 100ms, start + 300ms);
-    tracker.onResponse(start + 1s, start + 1s);
+    tracker.onResponse(start + 1s);
     PublishedUpstream upstream;
     upstream.reachability.setLocal(tracker.contact());
     upstream.reportAt(start + 1100ms, tracker.contact());
@@ -109,10 +109,10 @@
 TEST_CASE("a silent store may have been away since its last response, one that ends connections was not")
 {
     StoreContactTracker tracker;
-    tracker.onResponse(start, start);
+    tracker.onResponse(start);
     tracker.onFailure(StoreCallFailure::NoResponse, start + 1500ms, start + 3s);
     CHECK(tracker.contact().lostAfter == start);
-    tracker.onResponse(start + 4s, start + 4s);
+    tracker.onResponse(start + 4s);
     CHECK(tracker.contact().lastOutage == StoreOutage { start, start + 1500ms, start + 4s });
     tracker.onFailure(StoreCallFailure::ConnectionEnded, start + 4s, start + 6s);
     CHECK(tracker.contact().lostAfter == start + 6s);
@@ -122,10 +122,10 @@
           "notices")
 {
     StoreContactTracker tracker;
-    tracker.onResponse(start, start);
+    tracker.onResponse(start);
     tracker.onFailure(StoreCallFailure::NoResponse, start + 1s, start + 3s);
     tracker.onFailure(StoreCallFailure::NoResponse, start + 9s, start + 9700ms);
-    tracker.onResponse(start + 10s, start + 10s);
+    tracker.onResponse(start + 10s);
     PublishedUpstream upstream;
     upstream.reportAt(start + 5s, upstream.lost);
     CHECK(upstream.isInUse(start + 5s, start + 5s));
--- a/test/correctness/StoreCallsTimeOut.cpp
+++ b/test/correctness/StoreCallsTimeOut.cpp
@@ -32,3 +32,15 @@
         timeout.recordResponseTime(4ms);
     CHECK(timeout.silentAfter(false) <= 500ms);
 }
+
+TEST_CASE("retries are short, so that the end of an outage is known closely, but for some that a slow store "
+          "can answer")
+{
+    const StoreCallTimeout timeout;
+    int longRetries = 0;
+    for (int failures = 1; failures <= 9; ++failures) {
+        longRetries += timeout.silentAfter(failures) == 2s ? 1 : 0;
+        CHECK((timeout.silentAfter(failures) <= 700ms || timeout.silentAfter(failures) == 2s));
+    }
+    CHECK(longRetries == 3);
+}
