Keep the upstreams of a fleet that has lost its store until they can be published again

Cause: the grace period of a lapsed record runs from when the VM's last failed call was begun. A call to a silent store fails after 1.5 to 2 s, and the one after it succeeds when the store is back, so that the last failed call can have been begun 3 s before: the grace period of 2.2 s is over when the outage is, while records are back within 2 s after it. In an outage of the whole store that holds for all upstreams at once.

When most other VMs report an outage at the same time, the grace period now runs from the VM's first response. A VM that was cut off alone, or with a minority, still counts from when it can have been back: there another upstream takes over.

RemovedRecordsAreNotTakenForLapsed, before: `CHECK( upstream.isInUse(start + 8s, start + 8s) ) is NOT correct! values: CHECK( false )`.

--- a/src/coordination/RecordLapse.cpp
+++ b/src/coordination/RecordLapse.cpp
@@ -21,15 +21,23 @@
     return time - lostAfter >= minTimeToLapse(heartbeat) - heartbeat;
 }
 
-/// Until when a VM that is known to have this contact uses its upstream.
-Instant inUseUntil(const StoreContact& contact, Instant removedBy, Duration heartbeat, Instant now)
+/// Until when the record's upstream is in use if its VM has this contact.
+Instant inUseUntil(const MissingRecord& record, const StoreContact& contact,
+    const StoreReachability& reachability, Duration heartbeat, Instant now)
 {
+    const Instant removedBy = record.removed.heardAt;
     if (contact.lostAfter)
         return canLapse(*contact.lostAfter, removedBy, heartbeat) ? Instant::max() : now;
     const auto& outage = contact.lastOutage;
     const bool hasLapsed
         = outage && canLapse(outage->beganAfter, std::min(removedBy, outage->endedBy), heartbeat);
-    return hasLapsed ? outage->endedAfter + lapsedRecordGrace : now;
+    if (!hasLapsed)
+        return now;
+    // A VM that was cut off alone can have been back before it noticed. After an outage of the whole store no
+    // upstream may be given up before it can have published its record again.
+    const Instant backAt
+        = reachability.isFleetOutage(record.vm, *outage, now) ? outage->endedBy : outage->endedAfter;
+    return backAt + lapsedRecordGrace;
 }
 
 /// Whether an outage of this node, which may be one of the whole store, is later than the last sign of the
@@ -54,11 +62,11 @@
     const auto vm = reachability.contactOf(record.vm, now);
     if (!vm) // only this node's contact says whether the whole store was away
         return local.lostAfter
-            ? std::min(inUseUntil(local, removedBy, heartbeat, now), removedBy + lapsedRecordGrace)
-            : inUseUntil(local, removedBy, heartbeat, now);
+            ? std::min(inUseUntil(record, local, reachability, heartbeat, now), removedBy + lapsedRecordGrace)
+            : inUseUntil(record, local, reachability, heartbeat, now);
     if (mayShareOutage(*vm, local) && canLapse(*vm->lastSeen, removedBy, heartbeat))
-        return inUseUntil(local, removedBy, heartbeat, now);
-    return inUseUntil(*vm, removedBy, heartbeat, now);
+        return inUseUntil(record, local, reachability, heartbeat, now);
+    return inUseUntil(record, *vm, reachability, heartbeat, now);
 }
 
 } // namespace Ebonystack
--- a/src/coordination/StoreReachability.cpp
+++ b/src/coordination/StoreReachability.cpp
@@ -1,12 +1,22 @@
 // Keeps the last report of each VM.
 #include "coordination/StoreReachability.h"
 
+#include <algorithm>
+
 namespace Ebonystack {
 namespace {
 
 /// Nodes report with every heartbeat; a VM that has missed several may be down.
 constexpr Duration reportLifetime = std::chrono::milliseconds(2500);
 
+bool hasSharedOutage(const StoreContact& contact, const StoreOutage& outage)
+{
+    if (contact.lostAfter)
+        return *contact.lostAfter < outage.endedBy;
+    const auto& last = contact.lastOutage;
+    return last && last->beganAfter < outage.endedBy && outage.beganAfter < last->endedBy;
+}
+
 } // namespace
 
 StoreContact StoreReachability::contactAfter(const Report* previous, bool reachesStore, Instant now)
@@ -46,6 +56,16 @@
     return report->reachesStore ? StoreReachabilityState::Reachable : StoreReachabilityState::Unreachable;
 }
 
+bool StoreReachability::isFleetOutage(const VmId& vm, const StoreOutage& outage, Instant now) const
+{
+    const auto isRecent
+        = [&](const auto& item) { return item.first != vm && now - item.second.at <= reportLifetime; };
+    const auto recent = std::ranges::count_if(m_reports, isRecent);
+    const auto sharing = std::ranges::count_if(m_reports,
+        [&](const auto& item) { return isRecent(item) && hasSharedOutage(item.second.contact, outage); });
+    return 2 * sharing > recent;
+}
+
 std::optional<StoreContact> StoreReachability::contactOf(const VmId& vm, Instant now) const
 {
     const Report* report = recentReport(vm, now);
--- a/test/correctness/RemovedRecordsAreNotTakenForLapsed.cpp
+++ b/test/correctness/RemovedRecordsAreNotTakenForLapsed.cpp
@@ -135,3 +135,21 @@
     upstream.directory.expire(upstream.reachability, start + 9s + lapsedRecordGrace);
     CHECK(upstream.directory.find(instance) == nullptr);
 }
+
+TEST_CASE(
+    "a silent store that was away for the whole fleet leaves no service without upstreams when it is back")
+{
+    StoreContactTracker tracker;
+    tracker.onResponse(start, start);
+    tracker.onFailure(StoreCallFailure::NoResponse, start + 4s, start + 5500ms);
+    tracker.onResponse(start + 6s, start + 8s); // the call was pending when the store came back
+    PublishedUpstream upstream;
+    upstream.reachability.setLocal(tracker.contact());
+    upstream.reportAt(start + 8s, tracker.contact());
+    upstream.reachability.report({ "10.0.0.2" }, true, start + 8s, tracker.contact());
+    CHECK(upstream.isInUse(start + 8s, start + 8s));
+    upstream.directory.expire(upstream.reachability, start + 10s);
+    CHECK(upstream.directory.find(instance));
+    upstream.directory.expire(upstream.reachability, start + 8s + lapsedRecordGrace);
+    CHECK(upstream.directory.find(instance) == nullptr);
+}
