Don't take a late response of a watch for one that waited

A node could count news of the store as up to 1.4 s younger than it is (4.2 s on a standby), and so hand requests to an upstream that long after the end of its drain time.

Cause: a watch whose response leaves the mirror as it was counted as one that had waited for its full time, and the store as known to have had no change until then. A response with a change that a peer's push has brought meanwhile leaves the mirror as it was, too; when it is delivered late, as after a stall of the node, the store had sent it right after the call. The response now tells by the revision that it names.

AgeOfNewsIsKnown, before: `CHECK( *mirror.confirmedAt() <= *respondedAt ) is NOT correct!`

--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -50,10 +50,11 @@
         std::string input;
         std::optional<TimerId> timeout; // of the call in flight, or the delay before the next call
         Call call { Call::Listing }; // the call in flight, or the last one
-        std::uint64_t askedEra { 0 }; // of the mirror, when the call in flight was sent
+        StorePosition asked; // of the mirror, when the call in flight was sent
         Instant begunAt; // when the call in flight was begun, with the connection that it needs
         Instant sentAt; // when the call in flight was sent
         std::optional<Duration> watchWait; // of the watch in flight; nothing while another call is
+        std::uint64_t watchedTo { 0 }; // the revision that the last watch's response names
         std::vector<StoreItem> listedItems; // from the pages received so far
         Instant listingSentAt; // when its first page was asked for
         StorePosition listPosition; // of the listing's first page; revision 0: no page yet
@@ -128,7 +129,7 @@
         // changes in the store.
         const bool isRetry = connection->failures > 0;
         connection->watchWait.reset();
-        connection->askedEra = mirror.era();
+        connection->asked = mirror.position();
         std::string target;
         Duration timeout = listTimeout;
         connection->call = nextCall();
@@ -137,7 +138,7 @@
             timeout = isRetry ? callTimeout.silentAfter(connection->failures) : probeTimeout;
         } else if (connection->call == Call::Watch) {
             const Duration wait = isRetry ? recoveryWait : plan.watchWait;
-            target = adapter.watchTarget(adapter.publishedPrefix(), mirror.revision(), wait);
+            target = adapter.watchTarget(adapter.publishedPrefix(), connection->asked.revision, wait);
             timeout = wait + callTimeout.silentAfter(connection->failures);
             connection->watchWait = wait;
         } else {
@@ -218,7 +219,7 @@
         }
         if (era < mirror.era())
             return fail("the response is of an earlier era of the store");
-        if (status == statusOk && connection->call == Call::Watch && era != connection->askedEra)
+        if (status == statusOk && connection->call == Call::Watch && era != connection->asked.era)
             return sendRequest(); // its revision means something else now
         if (status == statusGone && connection->call == Call::Watch) {
             mustListAgain = true;
@@ -231,14 +232,15 @@
         }
         if (status != statusOk)
             return fail("expected HTTP status 200, got " + std::to_string(status));
-        const std::uint64_t known = mirror.revision();
         const bool isApplied
             = connection->call == Call::Watch ? applyChanges(response.body) : applyPage(response.body, era);
         if (!isApplied)
             return;
         const Duration took = monotonicNow() - connection->sentAt;
         const Duration wait = connection->watchWait.value_or(Duration::zero());
-        const bool hasWaited = connection->watchWait && mirror.revision() == known && took >= wait;
+        // A peer may have passed the response's changes on before it arrived, so the mirror doesn't tell.
+        const bool hasWaited
+            = connection->watchWait && connection->watchedTo == connection->asked.revision && took >= wait;
         if (hasWaited || !connection->watchWait)
             callTimeout.recordResponseTime(took - wait);
         // The store can't have responded before.
@@ -339,6 +341,7 @@
         for (const StoreItem& item : changes->items)
             mirror.apply(item);
         mirror.setCompleteRevision(changes->revision);
+        connection->watchedTo = changes->revision;
         return true;
     }
 
--- a/test/correctness/AgeOfNewsIsKnown.cpp
+++ b/test/correctness/AgeOfNewsIsKnown.cpp
@@ -8,6 +8,7 @@
 #include "transport/SystemClock.h"
 
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace Ebonystack;
 using namespace Ebonystack::Testing;
@@ -71,6 +72,32 @@
     CHECK(*mirror.confirmedAt() > *changeMadeAfter);
 }
 
+TEST_CASE("a watch that responds with a change at once and arrives late, after a peer's push, has not waited")
+{
+    std::optional<Instant> respondedAt;
+    boost::asio::io_context io;
+    StoreMirror mirror([](const StoreItem&) {});
+    ScriptedUpstream store(io, [&](const HttpRequest& request) {
+        if (request.head.target.find("watch") == std::string::npos)
+            return respond(R"({"items":[],"has_more":false,"current_rev":7})");
+        if (respondedAt)
+            return ScriptedResponse { "", false, true };
+        respondedAt = monotonicNow();
+        mirror.applyUpdate({ 7, 9, { { "a", 9, std::nullopt } }, std::nullopt, std::nullopt });
+        std::this_thread::sleep_for(150ms);
+        return respond(R"({"events":[{"key":"a","revision":9,"tombstone":true}],"current_rev":9})");
+    });
+    TimerService timers;
+    Platform::Adapter adapter;
+    DecisionLog log;
+    StoreReader reader(io, timers, adapter, mirror, log, store.address(), 1);
+    reader.setPlan({ StoreMode::Watch, 10ms, 100ms });
+    reader.start(monotonicNow());
+    REQUIRE(Testing::runUntil(
+        io, [&] { return store.requests().size() == 3; }, 3s, [&] { timers.advance(monotonicNow()); }));
+    CHECK(*mirror.confirmedAt() <= *respondedAt);
+}
+
 TEST_CASE("ages reach the peers, and are left out where they are not known")
 {
     LinkHeartbeat heartbeat;
