Check that no change which a node receives is older than its copy's confirmation

The property test of the store's changes confirms copies as nodes do, from their own calls, peers' positions and pushes, with a common clock. Whatever a mirror gets next, also a removal that a listing implies, was written after the time that confirmedAt named.

--- a/test/property/StoreChangesReachAllNodes.cpp
+++ b/test/property/StoreChangesReachAllNodes.cpp
@@ -1,6 +1,7 @@
 // Random small fleets whose readers pass on the store's changes over links that lose, repeat and reorder
 // them, while nodes restart and the store comes back from copies. A node never counts a change as known that
-// it lacks, and never goes back to an older version; with the links restored all nodes agree with the store.
+// it lacks, never goes back to an older version, and gets nothing that was written before its copy was
+// confirmed; with the links restored all nodes agree with the store.
 #include "coordination/StoreChangeRelay.h"
 #include "coordination/StoreRoles.h"
 
@@ -22,6 +23,8 @@
     std::vector<StoreItem> changes;
     std::uint64_t historySince { 0 };
     std::uint64_t era { 1 };
+    Instant now {};
+    std::map<StorePosition, Instant> writtenAt;
 
     std::uint64_t revision() const { return changes.size() + 1; }
     StorePosition position() const { return { era, revision() }; }
@@ -36,6 +39,18 @@
         const std::uint64_t next = revision() + 1;
         changes.push_back({ "k" + std::to_string(key), next,
             removes ? std::nullopt : std::optional(std::to_string(era) + '/' + std::to_string(next)) });
+        writtenAt[position()] = now;
+    }
+    /// When the key was written or removed last up to `at`; nothing if that was in an earlier era.
+    std::optional<Instant> lastWriteOf(const std::string& key, const StorePosition& at) const
+    {
+        std::optional<Instant> last;
+        for (const StoreItem& item : changes) {
+            if (const auto found = writtenAt.find({ era, item.revision });
+                at.era == era && item.key == key && item.revision <= at.revision && found != writtenAt.end())
+                last = found->second;
+        }
+        return last;
     }
     std::map<std::string, StoreItem> itemsAt(std::uint64_t at) const
     {
@@ -49,11 +64,19 @@
 };
 
 struct Node {
+    explicit Node(const Store& given)
+        : store(given)
+    {
+    }
+
+    const Store& store;
     std::map<std::string, std::pair<StorePosition, std::optional<std::string>>> items;
     StoreMirror mirror { [this](const StoreItem& item) {
                             auto& [position, value] = items[item.key];
                             const StorePosition next { mirror.era(), item.revision };
                             RC_ASSERT(position < next);
+                            if (const auto written = store.lastWriteOf(item.key, next))
+                                RC_ASSERT(*written >= mirror.confirmedAt().value_or(*written));
                             position = next;
                             value = item.value;
                         },
@@ -62,7 +85,7 @@
 
     /// Reads what the store has now: what changed, or a listing if the node has just started or the store has
     /// forgotten the changes since the node's revision.
-    void readStore(const Store& store)
+    void readStore()
     {
         if (mirror.position() < StorePosition { store.era, std::max<std::uint64_t>(store.historySince, 1) }) {
             std::vector<StoreItem> listing;
@@ -107,11 +130,11 @@
         const auto nodeCount = *rc::gen::inRange(2, 6);
         std::vector<std::unique_ptr<Node>> nodes;
         for (int i = 0; i < nodeCount; ++i) {
-            nodes.push_back(std::make_unique<Node>());
-            nodes.back()->readStore(store);
+            nodes.push_back(std::make_unique<Node>(store));
+            nodes.back()->readStore();
         }
         std::deque<std::pair<int, StoreChangesPush>> underWay; // by receiver
-        Instant now {};
+        Instant& now = store.now;
         const auto steps = *rc::gen::container<std::vector<int>>(120, rc::gen::inRange(0, 1000));
         for (const int step : steps) {
             now += 60ms;
@@ -123,17 +146,24 @@
                 store.change(step % keyCount, step % 7 == 0);
                 break;
             case 2: // a reader reads and passes on
-                node.readStore(store);
-                if (const auto push = node.relay.takePush()) {
+                node.readStore();
+                if (auto push = node.relay.takePush()) {
+                    if (const auto confirmedAt = node.mirror.confirmedAt())
+                        push->sinceAge = *confirmedAt - Instant(); // as if by a common clock
                     for (int receiver = 0; receiver < nodeCount; ++receiver)
                         underWay.emplace_back(receiver, *push);
                 }
+                node.mirror.confirm(node.mirror.position(), now);
                 break;
             case 3: // one push arrives, at times out of order or twice
                 if (!underWay.empty()) {
                     const auto at = static_cast<std::size_t>(step) % underWay.size();
                     const auto [receiver, push] = underWay[at];
-                    nodes[static_cast<std::size_t>(receiver)]->relay.receivePush(push);
+                    Node& other = *nodes[static_cast<std::size_t>(receiver)];
+                    if (push.sinceAge)
+                        other.mirror.confirm(
+                            { *push.update.era, push.update.since }, Instant(*push.sinceAge));
+                    other.relay.receivePush(push);
                     if (step % 5 != 0)
                         underWay.erase(underWay.begin() + static_cast<std::ptrdiff_t>(at));
                 }
@@ -145,6 +175,8 @@
             case 5: // a node that is behind requests what it lacks from another, whichever that is
             case 6: {
                 Node& other = *nodes[static_cast<std::size_t>(step / 7 % nodeCount)];
+                if (const auto confirmedAt = other.mirror.confirmedAt())
+                    node.mirror.confirm(other.mirror.position(), *confirmedAt);
                 node.relay.compareWithPeer(other.mirror.position(), now);
                 now += 300ms; // no push arrives meanwhile
                 if (const auto request = node.relay.compareWithPeer(other.mirror.position(), now))
@@ -161,16 +193,16 @@
                 }
                 break;
             default: // the node restarts; without the store it begins empty
-                nodes[static_cast<std::size_t>(nodeIndex)] = std::make_unique<Node>();
+                nodes[static_cast<std::size_t>(nodeIndex)] = std::make_unique<Node>(store);
                 if (step % 2 == 0)
-                    nodes[static_cast<std::size_t>(nodeIndex)]->readStore(store);
+                    nodes[static_cast<std::size_t>(nodeIndex)]->readStore();
                 else
                     nodes[static_cast<std::size_t>(nodeIndex)]->relay.startPushing();
             }
             for (const auto& each : nodes)
                 checkKnownChanges(store, *each);
         }
-        nodes[0]->readStore(store);
+        nodes[0]->readStore();
         for (int round = 0; round < 10; ++round) {
             now += 300ms;
             for (const auto& each : nodes) {
