Tell a VM that lost the store hours ago from one in contact

Seen by callers: nothing yet; by review. After an hour without the store, all nodes give up the upstreams of the other VMs: in an outage of the whole store, all but the one beside them.

Cause: ages above an hour are decoded as missing. A contact without the age of its loss means that the VM has not lost the store, so that lapsed records count as those of upstreams that have left. Before the nodes reported more than a flag, the flag kept them in use.

A clamped age doesn't do: the loss would seem to get later than the lapse. The bound, which only keeps durations in range, is now a year.

AgeOfNewsIsKnown, before: `CHECK( decoded(heartbeat) == heartbeat ) is NOT correct!`

--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -15,8 +15,8 @@
 constexpr std::size_t lengthPrefixBytes = 4;
 /// Frames nest four arrays; the decoder of the library recurses once per level.
 constexpr std::size_t maxNesting = 16;
-/// Longer ages say no more than a missing one.
-constexpr Duration maxAge = std::chrono::hours(1);
+/// Longer ages count as missing. Above the longest outage: a VM without the age of its loss looks in contact.
+constexpr Duration maxAge = std::chrono::hours(24 * 365);
 
 /// Builds the decoded value, and stops the decoder when the value is malformed or nested too deeply.
 class FrameBuilder : public nlohmann::detail::json_sax_dom_parser<Json> {
--- a/test/correctness/AgeOfNewsIsKnown.cpp
+++ b/test/correctness/AgeOfNewsIsKnown.cpp
@@ -109,3 +109,11 @@
     push.sinceAge.reset();
     CHECK(decoded(push) == push);
 }
+
+TEST_CASE("a VM that lost the store hours ago does not look like one that is in contact")
+{
+    LinkHeartbeat heartbeat;
+    heartbeat.reachesStore = false;
+    heartbeat.storeContact = StoreContactAges { 5h, 5h, {}, {}, {} };
+    CHECK(decoded(heartbeat) == heartbeat);
+}
