Date a removal that a listing implies at the first revision at which it can have been

A node that had heard of the lapse of a record, and kept its upstream, could drop it although it was well: a peer that had lost the store's history listed it again, passed the removal on with the revision of its listing, and the second, later removal looked as if the record had been written and removed again in between.

An implied removal now counts from the first revision at which it can have been, which a node that knows the true one ignores; and a second removal tells of a write only if the copy was confirmed without the record in between.

--- a/src/coordination/StoreMirror.cpp
+++ b/src/coordination/StoreMirror.cpp
@@ -66,10 +66,12 @@
 
 template <typename Predicate> void StoreMirror::removeOthers(std::uint64_t revision, Predicate&& exists)
 {
+    if (revision <= m_revision)
+        return; // what it lacks was removed before, or written since
     std::vector<StoreItem> removed;
     for (const auto& [key, item] : m_items) {
         if (item.value && item.revision <= revision && !exists(key))
-            removed.push_back({ key, revision, std::nullopt });
+            removed.push_back({ key, std::max(item.revision, m_revision) + 1, std::nullopt });
     }
     for (const StoreItem& item : removed)
         apply(item);
@@ -106,8 +108,15 @@
 
 void StoreMirror::confirm(const StorePosition& position, Instant time)
 {
-    if (m_revision > 0 && position <= this->position())
-        m_confirmedAt = std::max(m_confirmedAt.value_or(time), time);
+    if (m_revision == 0 || position > this->position() || (m_confirmedAt && *m_confirmedAt >= time))
+        return;
+    m_confirmedAt = time;
+    m_confirmedPosition = position;
+}
+
+std::optional<Instant> StoreMirror::confirmedAt(const StorePosition& position) const
+{
+    return m_confirmedPosition <= position ? m_confirmedAt : std::nullopt;
 }
 
 StoreUpdate StoreMirror::changesSince(const StorePosition& since) const
--- a/src/coordination/StoreMirror.h
+++ b/src/coordination/StoreMirror.h
@@ -50,6 +50,8 @@
     /// The last time at which the store is known to have had no change that the copy lacks. What the copy
     /// gets next was written after it.
     std::optional<Instant> confirmedAt() const { return m_confirmedAt; }
+    /// The last time at which the store is known to have had no change after an earlier position of the copy.
+    std::optional<Instant> confirmedAt(const StorePosition&) const;
     /// What changed after `since`: all items, if `since` is of another era.
     StoreUpdate changesSince(const StorePosition& since) const;
 
@@ -60,7 +62,9 @@
     Items enterEra(std::uint64_t era);
     /// Reports the items of the last era that the new one lacks.
     void reportLosses(const Items& previous);
-    /// Removes the items that `exists` does not name and that have not changed after `revision`.
+    /// Removes the items that `exists` does not name and that have not changed after `revision`. They count
+    /// as removed at the first revision at which they can have been: a later one would look like a second
+    /// removal to a node that knows the true one.
     template <typename Predicate> void removeOthers(std::uint64_t revision, Predicate&& exists);
 
     Listener m_listener;
@@ -72,6 +76,7 @@
     // it.
     std::uint64_t m_removalsKnownSince { 0 };
     std::optional<Instant> m_confirmedAt;
+    StorePosition m_confirmedPosition; // after which the store had no change at m_confirmedAt
 };
 
 } // namespace Ebonystack
--- a/src/coordination/UpstreamDirectory.cpp
+++ b/src/coordination/UpstreamDirectory.cpp
@@ -94,7 +94,9 @@
         m_upstreams.erase(found);
         return;
     }
-    if (upstream.removed) // its record was written again and removed again, unheard
+    // A copy that was confirmed without the record, and lacks another removal, has missed a write in between.
+    const auto& last = upstream.removed;
+    if (last && removed.madeAfter && *removed.madeAfter > last->heardAt)
         upstream.written = { removed.heardAt, removed.madeAfter };
     upstream.removed = removed;
     upstream.mayHaveLapsed = true;
--- a/src/transport/StoreFeed.cpp
+++ b/src/transport/StoreFeed.cpp
@@ -84,7 +84,8 @@
     auto push = m_relay.takePush();
     if (!push)
         return;
-    if (const auto confirmedAt = m_mirror.confirmedAt())
+    const StorePosition since { push->update.era.value_or(m_mirror.era()), push->update.since };
+    if (const auto confirmedAt = m_mirror.confirmedAt(since))
         push->sinceAge = m_state.now() - *confirmedAt;
     m_links.sendToAll(m_localPeers, *push);
 }
