Date what peers say of the store from when their frame can have arrived

A node that stood still for 2 s read the heartbeat and the push that had waited for it as new, so a removal acknowledged at the beginning of the stall looked fresh, and the node went on sending for another second.

Ages in frames now count from the last time before which the node is known to have read its sockets: the tick before the last, or the beginning of a stall while the node catches up. No test of its own: Sidecar has no fixture; the soak pauses processes.

--- a/src/coordination/RecordLapse.h
+++ b/src/coordination/RecordLapse.h
@@ -16,7 +16,7 @@
 /// A record that the store has no longer.
 struct MissingRecord {
     VmId vm;
-    ChangeTime written; ///< its last write
+    ChangeTime written; ///< its last change: renewals alone do not change it
     ChangeTime removed;
 };
 
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -118,6 +118,7 @@
         schedulePeriodicWork();
         m_feed.start(m_startedAt);
         m_lastTick = m_startedAt;
+        m_previousTick = m_startedAt;
         nextTick();
         m_io.run();
         Log::write(Log::Level::Info, "stopped", { { "leftOpen", m_entry.openCount() + m_hop.openCount() } });
@@ -180,11 +181,12 @@
         const Instant now = monotonicNow();
         if (now - m_lastTick > stallThreshold) {
             m_stalledAt = now;
+            m_stalledSince = m_lastTick;
             m_state.log.state("process stood still", now, [&] {
                 return nlohmann::json { { "forMs", toMilliseconds(now - m_lastTick) } };
             });
         }
-        m_lastTick = now;
+        m_previousTick = std::exchange(m_lastTick, now);
         m_state.timers.advance(now);
         if (m_state.isLeaving())
             stopWhenIdle(now);
@@ -332,15 +334,24 @@
             agesOf(m_store.contact(), now) };
     }
 
+    /// When a frame that is read now can have arrived: frames wait while the process stands still.
+    Instant earliestArrival(Instant now) const
+    {
+        const bool isCatchingUp = m_stalledAt && now - *m_stalledAt < stallRecoveryTime;
+        return isCatchingUp ? m_stalledSince : m_previousTick;
+    }
+
     void onHeartbeat(const VmId& vm, const LinkHeartbeat& heartbeat) override
     {
         const Instant now = monotonicNow();
+        const Instant arrivedAfter = earliestArrival(now);
         m_state.recordLoadReport(vm, heartbeat.load, now);
         m_storeReachability.report(vm, heartbeat.reachesStore, now,
-            heartbeat.storeContact ? std::optional(contactOf(*heartbeat.storeContact, now)) : std::nullopt);
+            heartbeat.storeContact ? std::optional(contactOf(*heartbeat.storeContact, arrivedAfter))
+                                   : std::nullopt);
         const StorePosition position { heartbeat.storeEra.value_or(m_mirror.era()), heartbeat.storeRevision };
         if (heartbeat.copyAge)
-            m_mirror.confirm(position, now - *heartbeat.copyAge);
+            m_mirror.confirm(position, arrivedAfter - *heartbeat.copyAge);
         m_feed.onPeerPosition(vm, position, now);
     }
 
@@ -357,7 +368,12 @@
     }
     void onStoreChangesPush(const VmId& vm, const StoreChangesPush& push) override
     {
-        m_feed.onPush(vm, push, monotonicNow());
+        const Instant now = monotonicNow();
+        if (push.sinceAge) {
+            m_mirror.confirm({ push.update.era.value_or(m_mirror.era()), push.update.since },
+                earliestArrival(now) - *push.sinceAge);
+        }
+        m_feed.onPush(vm, push, now);
     }
 
     void onTokenResponse(const TokenResponse& response) override { m_entry.onTokenResponse(response); }
@@ -525,9 +541,11 @@
     std::optional<StatusServer> m_metrics;
     Instant m_startedAt;
     Instant m_lastTick;
+    Instant m_previousTick;
     Instant m_peersRefreshedAt;
     Instant m_leavingSince; // set while the node is leaving
     std::optional<Instant> m_stalledAt;
+    Instant m_stalledSince; // when the node was last seen to run before m_stalledAt
     bool m_directoryChanged { false };
     bool m_stopping { false };
 };
--- a/src/transport/StoreFeed.cpp
+++ b/src/transport/StoreFeed.cpp
@@ -118,9 +118,6 @@
 void StoreFeed::onPush(const VmId& vm, const StoreChangesPush& push, Instant now)
 {
     const std::uint64_t had = m_mirror.revision();
-    if (push.sinceAge)
-        m_mirror.confirm(
-            { push.update.era.value_or(m_mirror.era()), push.update.since }, now - *push.sinceAge);
     if (const auto request = m_relay.receivePush(push))
         m_links.send(vm, *request);
     m_state.log.state("store changes pushed", now, [&] {
