Give the response of a resumed request to its entry node also after the resume time

What callers see: the link between an entry node and an upstream's node is lost for longer than 1.2 s while a non-idempotent request runs. The link comes back in time, the request ends in time, and the caller gets 504 at its deadline.

Cause: 1.2 s after the loss the upstream's node cancels the entry node's requests. A non-idempotent one that runs is not aborted, but marked so that its response is not sent. The entry node still waits for it (until the deadline) and resumes it; the answer was "running", and the mark stayed.

Why the fix works: a resumed request is one that its entry node waits for, so the mark goes when it is resumed. Requests that the entry node has given up are not among the resumed numbers and stay cancelled.

No promise is at stake: 504 says nothing of the run.

Test: HopServiceReportsExecution, resumed 1.5 s after the loss.

--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -539,8 +539,10 @@
     std::string_view resumeOne(const HopOrigin& origin, std::uint64_t number, bool wasSentHere)
     {
         const JobPtr job = find(origin, number);
-        if (job && !job->ended)
+        if (job && !job->ended) {
+            job->cancelled = false; // it was if the link was down for longer than resumeTimeout
             return "running"; // its response is sent when it ends
+        }
         if (job && job->response) {
             reply(origin, *job->response);
             return "answered";
--- a/test/correctness/HopServiceReportsExecution.cpp
+++ b/test/correctness/HopServiceReportsExecution.cpp
@@ -260,3 +260,19 @@
     advance(std::chrono::milliseconds(500));
     CHECK(fixture.hop.openCount() == 0);
 }
+
+// Guards against a response that is withheld from an entry node whose link came back after the resume time.
+TEST_CASE("a non-idempotent request that is resumed after its resume time gets its response")
+{
+    HopServiceFixture fixture(makeValidResponse);
+    Instant now = fixture.state.now();
+    fixture.state.clock = [&] { return now; };
+    fixture.hop.request(fixture.origin, HopServiceFixture::makeRequest(1, false));
+    fixture.hop.originLost(fixture.origin, false);
+    now += std::chrono::milliseconds(1500);
+    fixture.state.timers.advance(now);
+    fixture.hop.resume(fixture.origin, { 1 }, true);
+    fixture.runUntil([&] { return fixture.hop.openCount() == 0; });
+    REQUIRE(fixture.responses.size() == 1);
+    CHECK(fixture.responses[0].outcome == HopOutcome::Responded);
+}
