Say "not run" of no request whose record may have been dropped

What callers could see: a non-idempotent request that has run is run again, or refused with 503. It takes an entry node that asks for the request later than 60 s after its deadline. Its timers prevent that while its clock runs; the clock of a suspended VM (CLOCK_MONOTONIC) stands still.

Cause: keeps the record until 60 s after the deadline by the clock of the upstream's node, and trusts that the entry node's clock agrees.

Change: the highest number whose record was dropped is kept for each process of an entry node; a number up to it without a record has an unknown outcome. Numbers increase, so requests that were sent later, and lost with a link, are still "not run". The memory is one number for each process of an entry node that has sent such a request here.

Test: HopServiceReportsExecution, asked for two minutes later. Before: "CHECK( fixture.responses[0].outcome == HopOutcome::OutcomeUnknown ) is NOT correct! values: CHECK( 1 == 2 )" (not run).

--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -34,8 +34,7 @@
 constexpr Duration resumeTimeout = 1200ms;
 /// How long responses to non-idempotent requests are kept: one may have been lost with a failing link.
 constexpr Duration responseRetention = 5s;
-/// How long after its deadline the record of a non-idempotent request is kept. Its entry node may ask for it
-/// until then; without a record the answer would be that it has not run.
+/// How long after its deadline the record of a non-idempotent request is kept. Later its outcome is unknown.
 constexpr Duration outcomeRetention = 60s;
 constexpr Duration serviceObservationPeriod = 250ms;
 /// Time for which the repeats that are left should last, see RationedSupply.
@@ -468,10 +467,24 @@
         state.timers.at(
             std::max(now, job->deadline) + outcomeRetention, [weak = weak_from_this(), job](Instant) {
                 if (const auto self = weak.lock())
-                    self->jobs.erase({ job->origin, job->request.number });
+                    self->dropRecord(*job);
             });
     }
 
+    void dropRecord(const Job& job)
+    {
+        jobs.erase({ job.origin, job.request.number });
+        std::uint64_t& last = lastDropped[job.origin];
+        last = std::max(last, job.request.number);
+    }
+
+    /// Whether a request without a record may have had one. Numbers increase with time.
+    bool mayHaveBeenDropped(const HopOrigin& origin, std::uint64_t number) const
+    {
+        const auto last = lastDropped.find(origin);
+        return last != lastDropped.end() && number <= last->second;
+    }
+
     /// Ends a job. The job of a non-idempotent request that reached the upstream stays for `resume`.
     void endJob(const JobPtr& job)
     {
@@ -547,7 +560,7 @@
             reply(origin, *job->response);
             return "answered";
         }
-        const bool neverArrived = !job && wasSentHere;
+        const bool neverArrived = !job && wasSentHere && !mayHaveBeenDropped(origin, number);
         HopResponse response;
         response.number = number;
         response.outcome = neverArrived ? HopOutcome::NotRun : HopOutcome::OutcomeUnknown;
@@ -593,6 +606,9 @@
     ValueRationing repeatRationing;
     RetryMonitor retryMonitor;
     std::map<JobKey, JobPtr> jobs; // those that wait or run, and ended non-idempotent ones that are retained
+    /// The highest number of a request of each entry node's process whose record was dropped with time. An
+    /// entry node may ask later than that: the clock of a VM that stands still can stand still too.
+    std::map<HopOrigin, std::uint64_t> lastDropped;
     std::size_t openJobs { 0 }; // jobs that wait or run
     std::unordered_map<GateTicket, JobPtr> waiting; // jobs at the gate
     std::map<HopOrigin, Instant>
--- a/src/transport/HopService.h
+++ b/src/transport/HopService.h
@@ -28,7 +28,8 @@
     void cancel(const HopOrigin&, std::uint64_t number);
     /// Called when a lost link is up again: cancels the origin's requests that are not in `numbers`, and
     /// sends the response or the outcome of those in `numbers` that have ended or are unknown. Unknown ones
-    /// have not run if they were sent to this process (`wereSentHere`): it keeps a record of those that may.
+    /// have not run if they were sent to this process (`wereSentHere`) and their record can't have been
+    /// dropped.
     void resume(const HopOrigin&, const std::vector<std::uint64_t>& numbers, bool wereSentHere);
     /// Cancels the origin's requests: at once when its process has ended, else after a timeout within which
     /// it may resume them.
--- a/test/correctness/HopServiceReportsExecution.cpp
+++ b/test/correctness/HopServiceReportsExecution.cpp
@@ -276,3 +276,18 @@
     REQUIRE(fixture.responses.size() == 1);
     CHECK(fixture.responses[0].outcome == HopOutcome::Responded);
 }
+
+// Guards against running a request again whose entry node stood still, with its clock, for over a minute.
+TEST_CASE("a request that ran is not reported as not run after its record was dropped")
+{
+    HopServiceFixture fixture(makeValidResponse);
+    fixture.linkUp = false;
+    fixture.hop.request(fixture.origin, HopServiceFixture::makeRequest(1, false));
+    fixture.runUntil([&] { return fixture.hop.openCount() == 0; });
+    fixture.state.timers.advance(fixture.state.now() + std::chrono::minutes(2));
+    fixture.linkUp = true;
+    fixture.hop.resume(fixture.origin, { 1, 2 }, true);
+    REQUIRE(fixture.responses.size() == 2);
+    CHECK(fixture.responses[0].outcome == HopOutcome::OutcomeUnknown);
+    CHECK(fixture.responses[1].outcome == HopOutcome::NotRun); // was sent later, and never arrived
+}
