Child processes of tools and tests inherit no sockets

A socket that the parent of a sidecar closed stayed open in the sidecars that it had started since: its address couldn't be listened on again, and connections to it were accepted and never served.

--- a/tools/process/ChildProcess.cpp
+++ b/tools/process/ChildProcess.cpp
@@ -38,6 +38,8 @@
     posix_spawn_file_actions_addopen(
         &actions, STDOUT_FILENO, outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, outputFileMode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // An inherited socket would stay open when the parent closes it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const auto argv = toArgv(arguments);
     const int error = posix_spawn(&m_pid, argv[0], &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
