--- a/test/soak/DrainCheck.cpp
+++ b/test/soak/DrainCheck.cpp
@@ -31,12 +31,11 @@
     m_taken.insert_or_assign(request, Taken { vm, Clock::now() });
 }
 
-void DrainCheck::onAcknowledged(std::uint64_t vm, const std::string& news)
+void DrainCheck::onAcknowledged(std::uint64_t vm, Clock::time_point at, const std::string& news)
 {
-    const auto now = Clock::now();
     // The acknowledgement is the store's, given while it is stable.
-    const bool isBinding = !m_store.anySince(now - stableTime);
-    m_leavings[vm] = Leaving { now, news, isBinding };
+    const bool isBinding = !m_store.anySince(Clock::now() - stableTime);
+    m_leavings[vm] = Leaving { at, news, isBinding };
     ++m_leavingCount;
     m_bindingCount += isBinding ? 1 : 0;
     m_log.add("store acknowledges: upstream " + std::to_string(vm) + ' ' + news
--- a/test/soak/DrainCheck.h
+++ b/test/soak/DrainCheck.h
@@ -25,7 +25,7 @@
 
     void onTaken(const std::string& request, std::uint64_t vm);
     /// The store has accepted that the upstream in this VM is draining, or that its entry is removed.
-    void onAcknowledged(std::uint64_t vm, const std::string& news);
+    void onAcknowledged(std::uint64_t vm, Clock::time_point at, const std::string& news);
     /// A run of the upstream has ended.
     void onEnded(std::uint64_t vm) { m_leavings[vm].reset(); }
     void onArrival(std::uint64_t vm, const std::string& request);
--- a/test/soak/FakeStore.h
+++ b/test/soak/FakeStore.h
@@ -39,6 +39,7 @@
     bool renewEntry(
         std::uint64_t vm, const std::string& key, const nlohmann::json& entry, std::uint64_t sequence);
     bool removeEntry(std::uint64_t vm, const std::string& key);
+    bool hasEntry(const std::string& key) const { return m_renewedAt.contains(key); }
     /// The entry is removed, whatever its upstream does.
     void expireEntry(const std::string& key);
     bool reaches(std::uint64_t vm) const;
--- a/test/soak/FakeUpstream.cpp
+++ b/test/soak/FakeUpstream.cpp
@@ -9,7 +9,9 @@
 
 constexpr std::chrono::milliseconds heartbeat { 1500 };
 constexpr std::chrono::milliseconds reachabilityPoll { 20 };
-/// An upstream that reaches the store again writes its entry within 2 s.
+/// An upstream that reaches the store again writes its entry within `returnTime`; one whose entry is still
+/// missing then is to be treated as gone.
+constexpr std::chrono::milliseconds returnTime { 2000 };
 constexpr std::uint64_t longestReturn = 1900; // ms
 constexpr std::chrono::seconds limitGrace { 3 };
 constexpr std::chrono::seconds limitWindow { 4 };
@@ -99,8 +101,10 @@
         m_isCutOff = true;
         return after(reachabilityPoll, &FakeUpstream::tendEntry);
     }
-    if (std::exchange(m_isCutOff, false))
+    if (std::exchange(m_isCutOff, false)) {
+        m_reachedAgainAt = Clock::now();
         return after(std::chrono::milliseconds(m_random.below(longestReturn)), &FakeUpstream::tendEntry);
+    }
     writeEntry();
     after(heartbeat, &FakeUpstream::tendEntry);
 }
@@ -108,9 +112,14 @@
 bool FakeUpstream::writeEntry()
 {
     if (m_news == LeavingNews::Removal) {
+        const bool hadEntry = m_surroundings.store.hasEntry(entryKey());
         const bool isAccepted = m_isAcknowledged || m_surroundings.store.removeEntry(m_vm, entryKey());
+        // A lapsed entry can't be removed. It counts as gone once the upstream could have written it again.
+        const auto now = Clock::now();
+        const auto reachedAt = m_isCutOff ? now : m_reachedAgainAt;
+        const auto goneAt = hadEntry ? now : std::max(now, reachedAt + returnTime);
         if (isAccepted)
-            onLeavingAccepted();
+            onLeavingAccepted(goneAt);
         return isAccepted;
     }
     const bool isDraining = m_news == LeavingNews::Draining;
@@ -119,16 +128,16 @@
         { "status", { { "state", isDraining ? "draining" : "ready" }, { "cold_left", "0ms" } } } };
     const bool isAccepted = m_surroundings.store.renewEntry(m_vm, entryKey(), entry, ++m_sequence);
     if (isAccepted && isDraining)
-        onLeavingAccepted();
+        onLeavingAccepted(Clock::now());
     return isAccepted;
 }
 
-void FakeUpstream::onLeavingAccepted()
+void FakeUpstream::onLeavingAccepted(Clock::time_point at)
 {
     if (std::exchange(m_isAcknowledged, true))
         return;
     m_surroundings.drainCheck.onAcknowledged(
-        m_vm, m_instance + (m_news == LeavingNews::Removal ? " is removed" : " is draining"));
+        m_vm, at, m_instance + (m_news == LeavingNews::Removal ? " is removed" : " is draining"));
     after(drainTime + m_extra, &FakeUpstream::end);
 }
 
--- a/test/soak/FakeUpstream.h
+++ b/test/soak/FakeUpstream.h
@@ -78,7 +78,7 @@
     void tendEntry();
     /// Returns whether the store has accepted it.
     bool writeEntry();
-    void onLeavingAccepted();
+    void onLeavingAccepted(Clock::time_point at);
     void end();
 
     const UpstreamSurroundings m_surroundings;
@@ -90,6 +90,7 @@
     std::uint64_t m_sequence { 0 };
     bool m_runs { false };
     bool m_isCutOff { false }; // from the store
+    Clock::time_point m_reachedAgainAt; // when it last was cut off no more
     std::optional<LeavingNews> m_news;
     bool m_isAcknowledged { false }; // that it leaves
     Clock::duration m_extra {};
--- a/test/soak/SoakFaults.cpp
+++ b/test/soak/SoakFaults.cpp
@@ -11,9 +11,11 @@
 using namespace std::chrono_literals;
 
 constexpr auto supervisionPeriod = 50ms;
-/// One seed in this many has all kinds of faults, the others a random half: some faults hide the effects of
-/// others, for example where they excuse them.
+/// Of this many seeds one has all kinds of faults, and the others a random half: some faults hide the effects
+/// of others, for example where they excuse them. The last one has longer intervals, so that VMs are in touch
+/// again before the next fault.
 constexpr std::uint64_t seedsPerFullSet = 3;
+constexpr std::uint64_t calmSeed = 2;
 
 } // namespace
 
@@ -25,6 +27,7 @@
     , m_pausedUntil(site.vms())
     , m_lostUntil(site.vms())
     , m_startsSoon(site.vms(), false)
+    , m_isCalm(seed % seedsPerFullSet == calmSeed)
     , m_kinds(chooseKinds(seed))
 {
 }
@@ -71,7 +74,7 @@
     const Fault fault = m_kinds[m_random.below(m_kinds.size())];
     const std::uint64_t vm = m_random.below(m_site.vms());
     (this->*fault)(vm);
-    after(between(150, 1050), [this] { scheduleFault(); });
+    after(m_isCalm ? between(2000, 6000) : between(150, 1050), [this] { scheduleFault(); });
 }
 
 /// Besides the other faults, so that upstreams leave at any time of these.
@@ -79,7 +82,9 @@
 {
     if (m_isOver)
         return;
-    leave(m_random.below(m_site.vms()));
+    const std::uint64_t vm = m_random.below(m_site.vms());
+    if (2 * awayCount() < m_site.vms()) // the others serve
+        leave(vm);
     after(between(200, 1800), [this] { scheduleLeaving(); });
 }
 
@@ -210,10 +215,10 @@
     m_site.drainCheck().store().happened(Clock::now()); // it loses answers
 }
 
-/// The VM's upstream often leaves during this or shortly after.
+/// The VM's upstream often leaves at its end or shortly after.
 void SoakFaults::turnAwayVm(std::uint64_t vm)
 {
-    const auto time = m_random.below(3) == 0 ? between(2500, 8000) : between(200, 2500);
+    const auto time = m_random.below(2) == 0 ? between(2500, 8000) : between(200, 2500);
     m_site.log().add("VM " + std::to_string(vm) + " is turned away by the store");
     m_site.store().turnAway(vm, anyTrouble());
     m_site.drainCheck().vm(vm).begin(Disturbance::LacksStore);
@@ -222,7 +227,7 @@
         if (Clock::now() >= m_turnedAwayUntil[vm])
             endTurnAway(vm);
     });
-    if (m_random.below(3) > 0)
+    if (m_random.below(4) > 0)
         afterIfFaulty(time - 200ms + between(0, 1400), [this, vm] { leave(vm); });
 }
 
@@ -243,8 +248,6 @@
 
 void SoakFaults::leave(std::uint64_t vm)
 {
-    if (2 * awayCount() >= m_site.vms())
-        return; // the others serve
     const LeavingNews news = m_random.below(2) == 0 ? LeavingNews::Draining : LeavingNews::Removal;
     const auto extra = m_random.below(4) == 0 ? between(1500, 6000) : between(100, 1500);
     const auto pause = between(100, 2000);
