--- a/test/soak/SoakFaults.h
+++ b/test/soak/SoakFaults.h
@@ -39,6 +39,7 @@
     /// The kinds of faults of a seed.
     std::vector<Fault> chooseKinds(std::uint64_t seed, const std::string& only);
     void scheduleFault();
+    std::chrono::milliseconds calmInterval();
     void scheduleLeaving();
     /// Upstreams that leave or have ended.
     std::uint64_t awayCount() const;
