--- a/test/soak/SoakFaults.h
+++ b/test/soak/SoakFaults.h
@@ -78,6 +78,7 @@
     std::vector<Clock::time_point> m_pausedUntil;
     std::vector<Clock::time_point> m_lostUntil;
     std::vector<bool> m_startsSoon; // the start of the VM's node is scheduled
+    const bool m_isOnlyKind;
     const bool m_isCalm;
     const std::vector<Fault> m_kinds;
 };
