--- a/test/soak/SoakFaults.cpp
+++ b/test/soak/SoakFaults.cpp
@@ -64,7 +64,7 @@
         Fault fault;
         bool isOfStore; // disturbs all VMs
     };
-    static constexpr std::array<Kind, 15> kinds { {
+    static constexpr std::array<Kind, 16> kinds { {
         { "kill", &SoakFaults::killNode, false },
         { "lost-vm", &SoakFaults::loseVm, false },
         { "pause", &SoakFaults::pauseNode, false },
@@ -72,6 +72,7 @@
         { "reload", &SoakFaults::reloadNode, false },
         { "signals", &SoakFaults::signalInSeries, false },
         { "turn-away", &SoakFaults::turnAwayVm, false },
+        { "leave-after-silence", &SoakFaults::leaveAfterSilence, false },
         { "lost-connections", &SoakFaults::dropUpstreamConnections, false },
         { "limit", &SoakFaults::limitUpstream, false },
         { "says-leaving", &SoakFaults::sayLeaving, false },
@@ -252,16 +253,29 @@
 void SoakFaults::turnAwayVm(std::uint64_t vm)
 {
     const auto time = m_random.below(4) > 0 ? between(1500, 8000) : between(200, 2500);
+    turnAway(vm, anyTrouble(), time);
+    if (m_random.below(8) > 0)
+        afterIfFaulty(time - 200ms + between(0, 1400), [this, vm] { leave(vm); });
+}
+
+/// The VM's upstream leaves while its node still waits for an answer that doesn't come.
+void SoakFaults::leaveAfterSilence(std::uint64_t vm)
+{
+    const auto time = between(1500, 6000);
+    turnAway(vm, StoreTrouble::NoAnswer, time);
+    afterIfFaulty(time + between(50, 600), [this, vm] { leave(vm); });
+}
+
+void SoakFaults::turnAway(std::uint64_t vm, StoreTrouble trouble, Clock::duration time)
+{
     m_site.log().add("VM " + std::to_string(vm) + " is turned away by the store");
-    m_site.store().turnAway(vm, anyTrouble());
+    m_site.store().turnAway(vm, trouble);
     m_site.drainCheck().vm(vm).begin(Disturbance::LacksStore);
     m_turnedAwayUntil[vm] = std::max(m_turnedAwayUntil[vm], Clock::now() + time);
     after(time, [this, vm] {
         if (Clock::now() >= m_turnedAwayUntil[vm])
             endTurnAway(vm);
     });
-    if (m_random.below(8) > 0)
-        afterIfFaulty(time - 200ms + between(0, 1400), [this, vm] { leave(vm); });
 }
 
 void SoakFaults::endTurnAway(std::uint64_t vm)
--- a/test/soak/SoakFaults.h
+++ b/test/soak/SoakFaults.h
@@ -53,6 +53,7 @@
     void restoreStore(std::uint64_t vm);
     void silenceWatches(std::uint64_t vm);
     void turnAwayVm(std::uint64_t vm);
+    void leaveAfterSilence(std::uint64_t vm);
     void dropUpstreamConnections(std::uint64_t vm);
     void changeConfig(std::uint64_t vm);
     void limitUpstream(std::uint64_t vm);
@@ -63,6 +64,7 @@
     void resume(std::uint64_t vm);
     void beginOutage(Clock::duration);
     void endOutage();
+    void turnAway(std::uint64_t vm, StoreTrouble, Clock::duration);
     void endTurnAway(std::uint64_t vm);
     void startAgain(std::uint64_t vm);
     void setRejecting(bool);
