A peer that acknowledges and has no room is not silent

Upstreams that read a long request slowly were cut off the same way.

Cause: TCP_USER_TIMEOUT was set on all connections as a bound on silent peers. The system counts the time of a closed window as well, although the peer answers each probe of it.

Why the fix works: the bound is now held by the stream itself. While sent bytes are not acknowledged it asks the system every 0.5 s for the retransmissions, the unanswered probes and the time of the last acknowledgement, and ends the connection after 2.5 to 3 s in which something was sent again and nothing came back. A peer with a closed window answers the probes. Idle connections have keep-alive as before; its count is now 1, which with TCP_USER_TIMEOUT was its effect. A client of the status pages that requests them and doesn't read is disconnected at 1 MiB; the system's bound did that.

--- a/src/transport/ByteStream.cpp
+++ b/src/transport/ByteStream.cpp
@@ -1,12 +1,16 @@
 // Non-blocking reads and writes on readiness events of the event loop.
 #include "transport/ByteStream.h"
 
+#include "transport/SystemClock.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace Ebonystack {
@@ -16,13 +20,10 @@
 using ErrorCode = boost::system::error_code;
 using Tcp = Asio::ip::tcp;
 
-/// A connection is closed if sent bytes stay unacknowledged for this time.
-constexpr unsigned tcpUserTimeoutMilliseconds = 2500;
-/// TCP keep-alive: an idle connection is probed after 3 s and then once a second, and closed after two probes
-/// without a response.
+/// TCP keep-alive: an idle connection is probed after 3 s, and closed after a second without a response.
 constexpr int keepAliveIdleSeconds = 3;
 constexpr int keepAliveIntervalSeconds = 1;
-constexpr int keepAliveProbeCount = 2;
+constexpr int keepAliveProbeCount = 1;
 /// Shared by all streams: the event loop has one thread, and callbacks copy the bytes that they keep.
 std::array<char, 65536> sharedReadBuffer;
 /// A larger output buffer is freed once it is written: most messages are smaller, and a node has many
@@ -41,13 +42,24 @@
     socket.non_blocking(true, ignored);
     const int handle = socket.native_handle();
     setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, tcpUserTimeoutMilliseconds);
+    // TCP_USER_TIMEOUT is not set: it also ends connections whose peer answers all probes of its closed
+    // window.
     setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
     setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
     setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbeCount);
 }
 
+std::optional<AcknowledgementSample> sampleAcknowledgements(int socket, Instant now)
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return std::nullopt;
+    return AcknowledgementSample { info.tcpi_total_retrans, info.tcpi_probes,
+        now - std::chrono::milliseconds(info.tcpi_last_ack_recv) };
+}
+
 std::optional<Tcp::endpoint> parseEndpoint(const std::string& text)
 {
     const auto colon = text.rfind(':');
@@ -116,6 +128,14 @@
     m_socket.close(ignored);
 }
 
+std::size_t ByteStream::unacknowledged()
+{
+    int inSystem = 0;
+    if (!isOpen() || ::ioctl(m_socket.native_handle(), SIOCOUTQ, &inSystem) != 0)
+        inSystem = 0;
+    return unsent() + static_cast<std::size_t>(inSystem);
+}
+
 bool ByteStream::hasUnreadData()
 {
     char byte = 0;
@@ -165,6 +185,10 @@
         return;
     }
     m_sent += error ? 0 : count;
+    if (!m_awaitsPeerCheck) {
+        m_silence.start(monotonicNow());
+        awaitPeerCheck();
+    }
     if (unsent() > 0)
         return awaitWritable();
     m_output.clear();
@@ -185,6 +209,30 @@
     });
 }
 
+void ByteStream::awaitPeerCheck()
+{
+    m_awaitsPeerCheck = true;
+    auto timer = std::make_shared<Asio::steady_timer>(m_socket.get_executor(),
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(silenceCheckPeriod));
+    timer->async_wait([weak = weak_from_this(), timer](const ErrorCode& error) {
+        const auto self = weak.lock();
+        if (!error && self && self->isOpen())
+            self->checkPeer();
+    });
+}
+
+void ByteStream::checkPeer()
+{
+    m_awaitsPeerCheck = false;
+    if (unacknowledged() == 0)
+        return;
+    const Instant now = monotonicNow();
+    const auto sample = sampleAcknowledgements(m_socket.native_handle(), now);
+    if (sample && m_silence.isSilent(*sample, now))
+        return end(StreamEnd::Broken);
+    awaitPeerCheck();
+}
+
 void ByteStream::end(StreamEnd how)
 {
     if (m_closesAfterWriting && unsent() > 0 && how == StreamEnd::Closed)
--- a/src/transport/ByteStream.h
+++ b/src/transport/ByteStream.h
@@ -1,9 +1,10 @@
 // One TCP connection on the node's event loop. Received bytes are passed to a callback; sent bytes are
-// buffered and written once per turn of the loop. TCP user timeout and keep-alive close a connection whose
-// peer is silent.
+// buffered and written once per turn of the loop. A connection whose peer is silent is closed: by TCP
+// keep-alive while it is idle, and by a SilenceDetector while sent bytes are not acknowledged.
 #pragma once
 
 #include "state/Time.h"
+#include "transport/SilenceDetector.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -40,6 +41,9 @@
     void closeAfterWriting();
     void close();
     bool isOpen() const { return m_socket.is_open(); }
+    /// Number of bytes that the peer's system has not acknowledged, also those not passed to the socket.
+    /// Makes a system call.
+    std::size_t unacknowledged();
     /// Whether an operation on the socket has failed, so that the connection ends once its received bytes are
     /// read.
     bool hasFailed() const { return m_hasFailed; }
@@ -51,6 +55,8 @@
     void onReadable();
     void flush();
     void awaitWritable();
+    void awaitPeerCheck();
+    void checkPeer();
     void end(StreamEnd);
     void shutdownAndClose();
 
@@ -59,6 +65,8 @@
     OnEnd m_onEnd;
     std::string m_output;
     std::size_t m_sent { 0 }; // bytes of m_output that are written to the socket
+    SilenceDetector m_silence;
+    bool m_awaitsPeerCheck { false };
     bool m_flushPosted { false };
     bool m_awaitsWritable { false };
     bool m_closesAfterWriting { false };
--- a/src/transport/StatusServer.cpp
+++ b/src/transport/StatusServer.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::uint32_t maxHeaderBytes = 8192;
+/// A client that requests pages and does not read them is disconnected.
+constexpr std::size_t maxUnreadBytes = 1 << 20;
 
 } // namespace
 
@@ -56,6 +58,11 @@
             response.body = page.body;
         }
         connection->parser = RequestParser(maxHeaderBytes, 0);
+        if (connection->stream->unsent() > maxUnreadBytes) {
+            connection->stream->close();
+            connections.erase(connection);
+            return;
+        }
         connection->stream->write(writeResponse(response.head, response.body, false));
         if (!response.head.keepAlive) {
             connection->stream->closeAfterWriting();
