A planned stop waits until callers have their responses

Cause: a response counted as written once the socket buffer had taken it, so that CallerServer::busyCount was 0 for a caller that had read a fifth of its response, and the process ended 2.5 s after SIGTERM. What was left was up to the system, with the settings of the connection that had no owner any more. A connection that closes after its response was closed 0.5 s after the last write in the same way.

Why the fix works: a response is done when the caller's system has acknowledged its last byte (SIOCOUTQ). A stopping node waits for that within its grace, and a connection that closes after its response is closed after that, or after the 10 s in which a response has to be read. A caller whose response is still being read doesn't count as idle either, so that it isn't the one closed at the limit of connections, and its idle timeout begins when it has the response.

The test failed before: CallerResourcesAreBounded, "the server stays busy until its caller's system has the whole response", on a kept connection and on one that closes: CHECK_FALSE( fixture.runUntil([&] { return fixture.server.busyCount() == 0; }) ) is NOT correct

--- a/src/transport/ByteStream.cpp
+++ b/src/transport/ByteStream.cpp
@@ -102,6 +102,7 @@
     if (!isOpen() || m_hasFailed)
         return;
     m_output.append(bytes);
+    m_written += bytes.size();
     if (m_flushPosted || m_awaitsWritable)
         return;
     m_flushPosted = true;
@@ -111,13 +112,14 @@
     });
 }
 
-void ByteStream::closeAfterWriting()
+void ByteStream::closeAfterWriting(Duration limit)
 {
     m_closesAfterWriting = true;
     m_onBytes = nullptr;
     m_onEnd = nullptr;
     if (unsent() == 0)
-        shutdownAndClose();
+        shutdownSend();
+    closeWhenAcknowledged(monotonicNow() + limit);
 }
 
 void ByteStream::close()
@@ -130,8 +132,10 @@
 
 std::size_t ByteStream::unacknowledged()
 {
+    if (!isOpen())
+        return 0;
     int inSystem = 0;
-    if (!isOpen() || ::ioctl(m_socket.native_handle(), SIOCOUTQ, &inSystem) != 0)
+    if (::ioctl(m_socket.native_handle(), SIOCOUTQ, &inSystem) != 0)
         inSystem = 0;
     return unsent() + static_cast<std::size_t>(inSystem);
 }
@@ -196,7 +200,7 @@
         m_output.shrink_to_fit();
     m_sent = 0;
     if (m_closesAfterWriting)
-        shutdownAndClose();
+        shutdownSend();
 }
 
 void ByteStream::awaitWritable()
@@ -235,22 +239,32 @@
 
 void ByteStream::end(StreamEnd how)
 {
-    if (m_closesAfterWriting && unsent() > 0 && how == StreamEnd::Closed)
-        return; // flush() closes after the last write
+    if (m_closesAfterWriting && how == StreamEnd::Closed && unacknowledged() > 0)
+        return; // closeWhenAcknowledged() closes
     const OnEnd onEnd = std::exchange(m_onEnd, nullptr);
     close();
     if (onEnd)
         onEnd(how);
 }
 
-void ByteStream::shutdownAndClose()
+void ByteStream::shutdownSend()
 {
-    // Closing a socket with unread bytes resets the connection, and the peer could lose the response.
     ErrorCode ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
+/// Closes the connection some time after the call at the earliest: closing a socket with unread bytes resets
+/// the connection, and the peer could lose the response.
+void ByteStream::closeWhenAcknowledged(Instant limit)
+{
     constexpr auto lingerTime = std::chrono::milliseconds(500);
     auto timer = std::make_shared<Asio::steady_timer>(m_socket.get_executor(), lingerTime);
-    timer->async_wait([self = shared_from_this(), timer](const ErrorCode&) { self->close(); });
+    timer->async_wait([self = shared_from_this(), timer, limit](const ErrorCode&) {
+        if (self->unacknowledged() == 0 || monotonicNow() >= limit)
+            self->close();
+        else
+            self->closeWhenAcknowledged(limit);
+    });
 }
 
 void connectStream(Asio::io_context& io, const std::string& address, Duration timeout,
--- a/src/transport/ByteStream.h
+++ b/src/transport/ByteStream.h
@@ -37,8 +37,13 @@
     void write(std::string_view bytes);
     /// Number of bytes that were not passed to the socket yet.
     std::size_t unsent() const { return m_output.size() - m_sent; }
-    /// Closes the connection after all bytes are written. Bytes received until then are discarded.
-    void closeAfterWriting();
+    /// The number of bytes passed to `write` so far: the position of the end of the last message.
+    std::uint64_t written() const { return m_written; }
+    /// Whether the peer's system has acknowledged the bytes before a position. Makes a system call.
+    bool isAcknowledged(std::uint64_t position) { return unacknowledged() <= m_written - position; }
+    /// Closes the connection after all bytes are acknowledged, or after `limit`. Bytes received until then
+    /// are discarded.
+    void closeAfterWriting(Duration limit = std::chrono::seconds(10));
     void close();
     bool isOpen() const { return m_socket.is_open(); }
     /// Number of bytes that the peer's system has not acknowledged, also those not passed to the socket.
@@ -58,12 +63,14 @@
     void awaitPeerCheck();
     void checkPeer();
     void end(StreamEnd);
-    void shutdownAndClose();
+    void shutdownSend();
+    void closeWhenAcknowledged(Instant limit);
 
     boost::asio::ip::tcp::socket m_socket;
     OnBytes m_onBytes;
     OnEnd m_onEnd;
     std::string m_output;
+    std::uint64_t m_written { 0 };
     std::size_t m_sent { 0 }; // bytes of m_output that are written to the socket
     SilenceDetector m_silence;
     bool m_awaitsPeerCheck { false };
--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -28,12 +28,6 @@
 /// upstream's node, and on that node.
 constexpr double requestMemoryShare = 0.2;
 
-bool isWriting(const std::weak_ptr<ByteStream>& stream)
-{
-    const auto locked = stream.lock();
-    return locked && locked->isOpen() && locked->unsent() > 0;
-}
-
 } // namespace
 
 class CallerServer::Internals : public std::enable_shared_from_this<Internals> {
@@ -50,6 +44,9 @@
         Instant phaseStartedAt; // start of the current phase: idle, reading or writing
         Instant lastReceivedAt;
         std::size_t requestBytes { 0 }; // of requests without a response yet
+        std::uint64_t responseEnd { 0 }; // position in the stream of the end of the last response
+        bool awaitsAcknowledgement { false }; // of the last response, as far as known
+        Instant acknowledgeBy; // the caller is disconnected if it has not taken the response by then
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -91,7 +88,13 @@
 
     static bool isIdle(const Connection& connection)
     {
-        return !connection.serving && !connection.parser && connection.stream->unsent() == 0;
+        return !connection.serving && !connection.parser && !isBeingRead(connection);
+    }
+
+    /// Whether the caller's system does not have the whole last response yet.
+    static bool isBeingRead(const Connection& connection)
+    {
+        return connection.awaitsAcknowledgement && !connection.stream->isAcknowledged(connection.responseEnd);
     }
 
     /// Returns null if no connection is idle.
@@ -172,7 +175,7 @@
         connection->phaseStartedAt = monotonicNow();
         releaseRequestBytes(connection, connection->input.size());
         response.head.keepAlive = connection->keepAlive && !state.isLeaving();
-        connection->stream->write(writeResponse(response.head, response.body, connection->isHeadRequest));
+        write(connection, writeResponse(response.head, response.body, connection->isHeadRequest));
         if (!response.head.keepAlive)
             return closeAfterWriting(connection);
         if (connection->input.empty())
@@ -197,10 +200,18 @@
             return nlohmann::json { { "code", static_cast<int>(refusal.code) }, { "name", info.name },
                 { "explanation", refusal.explanation } };
         });
-        connection->stream->write(writeResponse(head, {}, false));
+        write(connection, writeResponse(head, {}, false));
         closeAfterWriting(connection);
     }
 
+    void write(const ConnectionPtr& connection, const std::string& response)
+    {
+        connection->stream->write(response);
+        connection->responseEnd = connection->stream->written();
+        connection->awaitsAcknowledgement = true;
+        connection->acknowledgeBy = monotonicNow() + stallTimeout;
+    }
+
     void onEnd(const ConnectionPtr& connection, StreamEnd) { drop(connection); }
 
     /// Reduces the connection's count of request bytes to `kept`.
@@ -214,8 +225,8 @@
     {
         releaseRequestBytes(connection, 0);
         connections.erase(connection);
-        closingStreams.push_back(connection->stream);
-        connection->stream->closeAfterWriting();
+        closing.push_back(connection);
+        connection->stream->closeAfterWriting(connection->acknowledgeBy - monotonicNow());
     }
 
     void drop(const ConnectionPtr& connection)
@@ -231,8 +242,8 @@
     SidecarState& state;
     EntryService& entry;
     std::set<ConnectionPtr> connections;
-    // Streams that close after their last response is written. The process must not end before that.
-    std::vector<std::weak_ptr<ByteStream>> closingStreams;
+    // Connections that close after their last response is read. The process must not end before that.
+    std::vector<ConnectionPtr> closing;
     std::size_t requestBytes { 0 }; // the sum over all connections
 };
 
@@ -253,16 +264,22 @@
 
 void CallerServer::tick(Instant now)
 {
-    std::erase_if(m_internals->closingStreams, [](const auto& stream) { return !isWriting(stream); });
+    std::erase_if(
+        m_internals->closing, [](const auto& connection) { return !Internals::isBeingRead(*connection); });
     const CallerLimits limits = m_internals->limits();
     const auto connections = m_internals->connections;
     for (const auto& connection : connections) {
         if (connection->serving)
             continue;
-        const Duration age = now - connection->phaseStartedAt;
         const bool reading = connection->parser.has_value();
-        const bool writing = connection->stream->unsent() > 0;
-        const bool hasStalled = writing && age > stallTimeout;
+        const bool writing = Internals::isBeingRead(*connection);
+        if (connection->awaitsAcknowledgement && !writing) {
+            connection->awaitsAcknowledgement = false;
+            if (!reading)
+                connection->phaseStartedAt = now;
+        }
+        const Duration age = now - connection->phaseStartedAt;
+        const bool hasStalled = writing && now > connection->acknowledgeBy;
         const bool isIdleTooLong = !reading && !writing && age > limits.idleTimeout + idleTimeoutMargin;
         if (hasStalled || isIdleTooLong)
             m_internals->drop(connection);
@@ -282,8 +299,9 @@
 {
     const auto served = std::ranges::count_if(
         m_internals->connections, [](const auto& connection) { return !Internals::isIdle(*connection); });
-    const auto closingStreams = std::ranges::count_if(m_internals->closingStreams, isWriting);
-    return static_cast<std::size_t>(served + closingStreams);
+    const auto closing = std::ranges::count_if(
+        m_internals->closing, [](const auto& connection) { return Internals::isBeingRead(*connection); });
+    return static_cast<std::size_t>(served + closing);
 }
 
 void CallerServer::closeIdle()
--- a/src/transport/CallerServer.h
+++ b/src/transport/CallerServer.h
@@ -21,8 +21,8 @@
     /// Closes connections that are idle for too long or too slow. Called a few times a second.
     void tick(Instant now);
     std::size_t connectionCount() const;
-    /// Number of connections with a request that is being read or served, or a response that is being
-    /// written.
+    /// Number of connections with a request that is being read or served, or a response that the caller's
+    /// system does not have yet.
     std::size_t busyCount() const;
     /// Closes the connections that have no request or response in progress.
     void closeIdle();
--- a/test/correctness/CallerResourcesAreBounded.cpp
+++ b/test/correctness/CallerResourcesAreBounded.cpp
@@ -35,11 +35,53 @@
         return opened;
     }
 
-    template <typename Condition> void runUntil(Condition&& condition)
+    template <typename Condition> bool runUntil(Condition&& condition)
     {
-        Testing::runUntil(entry.io, condition);
+        return Testing::runUntil(entry.io, condition);
     }
 
+    /// A caller whose response exceeds its window, and which reads when the test says so.
+    boost::asio::ip::tcp::socket requestLongResponse()
+    {
+        using Tcp = boost::asio::ip::tcp;
+        Tcp::socket caller(entry.io);
+        caller.open(Tcp::v4());
+        caller.set_option(boost::asio::socket_base::receive_buffer_size(32 << 10));
+        caller.connect({ boost::asio::ip::make_address("127.0.0.1"), acceptor.port() });
+        caller.non_blocking(true);
+        const std::string request = "GET /read/1 HTTP/1.1\r\nHost: example\r\nX-Id: 1\r\nX-Left: 20000\r\n"
+                                    "Authorization: Bearer k\r\n\r\n";
+        caller.write_some(boost::asio::buffer(request));
+        const std::size_t before = entry.transport.sent.size();
+        REQUIRE(runUntil([&] { return entry.transport.sent.size() > before; }));
+        return caller;
+    }
+
+    void respondAtLength()
+    {
+        HopResponse response;
+        response.number = entry.transport.sent.back().request.number;
+        response.outcome = HopOutcome::Responded;
+        response.status = 200;
+        response.reachedUpstream = true;
+        response.body = std::string(longBodyBytes, 'x');
+        const VmId vm = entry.transport.sent.back().vm;
+        entry.entry.onResponse(vm, std::move(response));
+    }
+
+    /// Reads for as long as `condition` does not hold; returns whether it holds.
+    template <typename Condition> bool readUntil(boost::asio::ip::tcp::socket& caller, Condition&& condition)
+    {
+        return runUntil([&] {
+            std::string buffer(32 << 10, '\0');
+            boost::system::error_code ignored;
+            received.append(buffer, 0, caller.read_some(boost::asio::buffer(buffer), ignored));
+            return condition();
+        });
+    }
+
+    static constexpr std::size_t longBodyBytes = 200'000;
+
     EntryServiceFixture entry;
     CallerServer server { entry.state, entry.entry };
     std::size_t accepted { 0 };
@@ -139,3 +181,30 @@
     CHECK(fixture.server.busyCount() == 0);
     CHECK(fixture.received.find("HTTP/1.1 200") == 0);
 }
+
+// Guards against a planned stop that cuts off what the system has buffered and the caller has not read.
+TEST_CASE("the server stays busy until its caller's system has the whole response")
+{
+    bool closes = false;
+    SUBCASE("on a connection that is kept") { }
+    SUBCASE("on a connection that closes after the response") { closes = true; }
+    CallerServerFixture fixture(100, 100);
+    auto caller = fixture.requestLongResponse();
+    if (closes)
+        fixture.entry.state.shutdownDeadline = fixture.entry.now + 5s;
+    fixture.respondAtLength();
+    CHECK_FALSE(fixture.runUntil([&] { return fixture.server.busyCount() == 0; }));
+    CHECK(fixture.readUntil(caller, [&] { return fixture.server.busyCount() == 0; }));
+    CHECK(fixture.readUntil(
+        caller, [&] { return fixture.received.size() > CallerServerFixture::longBodyBytes; }));
+}
+
+TEST_CASE("a caller that leaves without having read its response is noticed at once")
+{
+    CallerServerFixture fixture(100, 100);
+    auto caller = fixture.requestLongResponse();
+    fixture.respondAtLength();
+    REQUIRE_FALSE(fixture.runUntil([&] { return fixture.server.busyCount() == 0; }));
+    caller.close();
+    CHECK(fixture.runUntil([&] { return fixture.server.connectionCount() == 0; }));
+}
