A planned stop waits until other nodes have the replies of this one

Links have small windows, and bodies up to max_body_bytes.

Why the fix works: a node that is about to stop looks at the links on which it has replied, until the last reply on each is acknowledged or its grace is over. Heartbeats don't count, since some are always under way.

No run of real processes shows this fault: on loopback a link takes a reply within milliseconds.

--- a/src/transport/PeerLinks.cpp
+++ b/src/transport/PeerLinks.cpp
@@ -101,6 +101,7 @@
         std::string input;
         MemoryBudget::Reservation inputBytes; // of `input`
         std::optional<HopOrigin> origin; // after the hello
+        std::uint64_t replyEnd { 0 }; // position in the stream of the end of the last reply; 0: acknowledged
         Instant lastReceivedAt;
     };
     using IncomingLinkPtr = std::shared_ptr<IncomingLink>;
@@ -447,7 +448,17 @@
     if (!link)
         return false;
     link->stream->write(encodeFrame(frame));
+    link->replyEnd = link->stream->written();
     return true;
 }
 
+bool PeerLinks::hasUnacknowledgedReplies()
+{
+    return std::ranges::any_of(m_internals->incoming, [](const Internals::IncomingLinkPtr& link) {
+        if (link->replyEnd > 0 && link->stream->isAcknowledged(link->replyEnd))
+            link->replyEnd = 0;
+        return link->replyEnd > 0;
+    });
+}
+
 } // namespace Ebonystack
--- a/src/transport/PeerLinks.h
+++ b/src/transport/PeerLinks.h
@@ -80,6 +80,9 @@
     void sendToAll(const std::vector<VmId>&, const PeerFrame&);
     /// Sends to the origin of a request. Returns false if there is no link from it.
     bool reply(const HopOrigin&, const PeerFrame&);
+    /// Whether some reply is not yet with the origin's system. Makes a system call for each link on which one
+    /// was not the last time.
+    bool hasUnacknowledgedReplies();
 
 private:
     class Internals;
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -508,7 +508,8 @@
 
     void stopWhenIdle(Instant now)
     {
-        const bool isIdle = m_entry.openCount() == 0 && m_hop.openCount() == 0 && m_callers.busyCount() == 0;
+        const bool isIdle = m_entry.openCount() == 0 && m_hop.openCount() == 0 && m_callers.busyCount() == 0
+            && !m_links.hasUnacknowledgedReplies();
         if (now > *m_state.shutdownDeadline || (now - m_leavingSince > minLeaveTime && isIdle)) {
             m_stopping = true;
             m_callers.closeIdle();
