Slow readers keep their responses until their deadline, within a bound on memory

Callers saw: a response that was cut off 10 s after it was written, although the caller waits longer and still reads.

Cause: CallerServer had one bound for all callers.

Why the fix works: a caller keeps its response until the deadline that its request states, 10 s at least. All unread responses together have a fifth of the VM's memory; above it the longest is cut off, after what has been read since the last tick is taken off. Slow readers, unread bytes and responses cut off, by cause, are in the metrics and the log.

The tests failed before: CallerResourcesAreBounded, "a slow reader keeps its response until its deadline, and is counted": connectionCount() 0 == 1 at 19 s of 20; "of slow readers that hold too much memory ...": connectionCount() 4 == 3 (run without the checks of the new metrics, which don't compile there).

--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -2,9 +2,13 @@
 // memory and time.
 #include "transport/CallerServer.h"
 
+#include "coordination/MemoryBudget.h"
 #include "transport/ByteStream.h"
+#include "transport/CallerDeadline.h"
 #include "transport/SystemClock.h"
 
+#include <algorithm>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <vector>
@@ -17,22 +21,35 @@
 /// Added to the configured timeouts, so that a request sent just before the idle timeout finds the connection
 /// open.
 constexpr Duration idleTimeoutMargin = 500ms;
-/// A caller is disconnected if it does not read its response within this time, or sends no byte of its body
-/// for this time.
+/// A caller is disconnected if it sends no byte of its body for this time, or if it does not read its
+/// response within this time or until its deadline, whichever is later.
 constexpr Duration stallTimeout = 10s;
+/// A caller that does not have its response after this time is a slow reader.
+constexpr Duration slowReaderTime = 1s;
 /// Bytes that a caller may send before it has received the response to its request.
 constexpr std::size_t maxPipelinedBytes = 1 << 20;
+/// The tick ends connections that close after their response was read, and counts them; their own limit comes
+/// later.
+constexpr Duration closeLimitMargin = 1s;
 /// Share of the process's file descriptors; the rest is for the upstream, links and listeners.
 constexpr double callerDescriptorShare = 0.6;
 /// Share of the process's memory. At most three copies of a request exist: here, on the link to the
 /// upstream's node, and on that node.
 constexpr double requestMemoryShare = 0.2;
+/// Share of the process's memory for responses that callers have not read. Above it the caller with the
+/// longest is disconnected.
+constexpr double unreadMemoryShare = 0.2;
 
 } // namespace
 
 class CallerServer::Internals : public std::enable_shared_from_this<Internals> {
 public:
     struct Connection {
+        explicit Connection(MemoryBudget& budget)
+            : unread(budget)
+        {
+        }
+
         std::shared_ptr<ByteStream> stream;
         std::string input;
         std::optional<RequestParser> parser; // set while a request is being read
@@ -46,13 +63,18 @@
         std::size_t requestBytes { 0 }; // of requests without a response yet
         std::uint64_t responseEnd { 0 }; // position in the stream of the end of the last response
         bool awaitsAcknowledgement { false }; // of the last response, as far as known
-        Instant acknowledgeBy; // the caller is disconnected if it has not taken the response by then
+        MemoryBudget::Reservation
+            unread; // bytes of responses that the caller does not have, as of the last tick
+        Instant callerDeadline; // of the last request
+        Instant respondedAt;
+        bool isSlowReader { false }; // of the last response
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
 
     Internals(SidecarState& shared, EntryService& service)
         : state(shared)
         , entry(service)
+        , unreadBudget(memoryShare(unreadMemoryShare))
     {
     }
 
@@ -81,9 +103,11 @@
     }
 
     /// Limit on the bytes of all requests of callers that have no response yet.
-    std::size_t maxRequestBytes() const
+    std::size_t maxRequestBytes() const { return memoryShare(requestMemoryShare); }
+
+    std::size_t memoryShare(double share) const
     {
-        return static_cast<std::size_t>(state.settings.memoryMegabytes * requestMemoryShare * (1 << 20));
+        return static_cast<std::size_t>(state.settings.memoryMegabytes * share * (1 << 20));
     }
 
     static bool isIdle(const Connection& connection)
@@ -156,6 +180,9 @@
         connection->serving = true;
         connection->keepAlive = request.head.keepAlive;
         connection->isHeadRequest = request.head.method == "HEAD";
+        connection->callerDeadline = monotonicNow()
+            + readCallerDeadline(request.head.fields, state.adapter.fieldNames().deadline)
+                  .value_or(Duration::zero());
         const CallId call = entry.begin(std::move(request),
             [weak = weak_from_this(), weakConnection = std::weak_ptr<Connection>(connection)](
                 HttpResponse response) {
@@ -209,7 +236,75 @@
         connection->stream->write(response);
         connection->responseEnd = connection->stream->written();
         connection->awaitsAcknowledgement = true;
-        connection->acknowledgeBy = monotonicNow() + stallTimeout;
+        connection->respondedAt = monotonicNow();
+        connection->isSlowReader = false;
+        updateUnread(*connection, connection->stream->unsent());
+    }
+
+    static Instant readBy(const Connection& connection)
+    {
+        return std::max(connection.callerDeadline, connection.respondedAt + stallTimeout);
+    }
+
+    void updateUnread(Connection& connection, std::size_t bytes)
+    {
+        connection.unread.resize(bytes);
+        if (!unreadBudget.isExceeded() || std::exchange(endsLongestUnread, true))
+            return;
+        // Deferred to the next tick: the entry service may be responding to the connection.
+        state.timers.at(monotonicNow(), [weak = weak_from_this()](Instant) {
+            if (const auto self = weak.lock())
+                self->endLongestUnread();
+        });
+    }
+
+    /// Disconnects the callers with the longest unread responses until the others are within the limit.
+    void endLongestUnread()
+    {
+        endsLongestUnread = false;
+        std::vector<ConnectionPtr> longestFirst(connections.begin(), connections.end());
+        longestFirst.insert(longestFirst.end(), closing.begin(), closing.end());
+        for (const ConnectionPtr& connection : longestFirst)
+            updateReading(connection, monotonicNow()); // most have been read since they were written
+        std::ranges::sort(longestFirst, std::greater {},
+            [](const ConnectionPtr& connection) { return connection->unread.bytes(); });
+        for (const ConnectionPtr& connection : longestFirst) {
+            if (!unreadBudget.isExceeded())
+                return;
+            cutOff(connection, "memory");
+        }
+    }
+
+    void updateReading(const ConnectionPtr& connection, Instant now)
+    {
+        if (!connection->awaitsAcknowledgement)
+            return;
+        connection->unread.resize(connection->stream->unacknowledged());
+        if (!isBeingRead(*connection)) {
+            connection->awaitsAcknowledgement = false;
+            connection->unread.resize(0);
+            if (!connection->parser)
+                connection->phaseStartedAt = now;
+        } else if (now - connection->respondedAt > slowReaderTime
+            && !std::exchange(connection->isSlowReader, true))
+            ++state.counters.slowReaders;
+    }
+
+    void checkReading(const ConnectionPtr& connection, Instant now)
+    {
+        updateReading(connection, now);
+        if (connection->awaitsAcknowledgement && now > readBy(*connection))
+            cutOff(connection, "deadline");
+    }
+
+    void cutOff(const ConnectionPtr& connection, const std::string& cause)
+    {
+        ++state.counters.slowReadersCut[cause];
+        state.log.failure("slow reader cut off", "", monotonicNow(), [&] {
+            return nlohmann::json { { "cause", cause }, { "unreadBytes", connection->unread.bytes() },
+                { "sinceMs", toMilliseconds(monotonicNow() - connection->respondedAt) } };
+        });
+        drop(connection);
     }
 
     void onEnd(const ConnectionPtr& connection, StreamEnd) { drop(connection); }
@@ -226,13 +321,15 @@
         releaseRequestBytes(connection, 0);
         connections.erase(connection);
         closing.push_back(connection);
-        connection->stream->closeAfterWriting(connection->acknowledgeBy - monotonicNow());
+        connection->stream->closeAfterWriting(readBy(*connection) - monotonicNow() + closeLimitMargin);
     }
 
     void drop(const ConnectionPtr& connection)
     {
         releaseRequestBytes(connection, 0);
         connections.erase(connection);
+        connection->unread.resize(0);
+        connection->awaitsAcknowledgement = false;
         connection->stream->close();
         if (connection->call)
             entry.cancel(*connection->call);
@@ -245,6 +342,8 @@
     // Connections that close after their last response is read. The process must not end before that.
     std::vector<ConnectionPtr> closing;
     std::size_t requestBytes { 0 }; // the sum over all connections
+    MemoryBudget unreadBudget; // of responses that callers do not have
+    bool endsLongestUnread { false }; // scheduled
 };
 
 CallerServer::CallerServer(SidecarState& state, EntryService& entry)
@@ -256,7 +355,7 @@
 
 void CallerServer::accept(boost::asio::ip::tcp::socket socket)
 {
-    auto connection = std::make_shared<Internals::Connection>();
+    auto connection = std::make_shared<Internals::Connection>(m_internals->unreadBudget);
     connection->stream = std::make_shared<ByteStream>(std::move(socket));
     connection->phaseStartedAt = monotonicNow();
     m_internals->addConnection(connection);
@@ -264,24 +363,21 @@
 
 void CallerServer::tick(Instant now)
 {
+    for (const auto& connection : m_internals->closing)
+        m_internals->checkReading(connection, now);
     std::erase_if(
-        m_internals->closing, [](const auto& connection) { return !Internals::isBeingRead(*connection); });
+        m_internals->closing, [](const auto& connection) { return !connection->awaitsAcknowledgement; });
     const CallerLimits limits = m_internals->limits();
     const auto connections = m_internals->connections;
     for (const auto& connection : connections) {
-        if (connection->serving)
+        m_internals->checkReading(connection, now);
+        if (connection->serving || !m_internals->connections.contains(connection))
             continue;
         const bool reading = connection->parser.has_value();
-        const bool writing = Internals::isBeingRead(*connection);
-        if (connection->awaitsAcknowledgement && !writing) {
-            connection->awaitsAcknowledgement = false;
-            if (!reading)
-                connection->phaseStartedAt = now;
-        }
+        const bool writing = connection->awaitsAcknowledgement;
         const Duration age = now - connection->phaseStartedAt;
-        const bool hasStalled = writing && now > connection->acknowledgeBy;
         const bool isIdleTooLong = !reading && !writing && age > limits.idleTimeout + idleTimeoutMargin;
-        if (hasStalled || isIdleTooLong)
+        if (isIdleTooLong)
             m_internals->drop(connection);
         else if (reading && !connection->parser->headDone() && age > limits.headerTimeout + idleTimeoutMargin)
             m_internals->refuse(connection,
@@ -304,6 +400,16 @@
     return static_cast<std::size_t>(served + closing);
 }
 
+SlowReaders CallerServer::slowReaders() const
+{
+    const auto isSlow = [](const auto& connection) {
+        return connection->awaitsAcknowledgement && connection->isSlowReader;
+    };
+    return { static_cast<std::size_t>(std::ranges::count_if(m_internals->connections, isSlow)
+                 + std::ranges::count_if(m_internals->closing, isSlow)),
+        m_internals->unreadBudget.heldBytes() };
+}
+
 void CallerServer::closeIdle()
 {
     const auto connections = m_internals->connections;
--- a/src/transport/CallerServer.h
+++ b/src/transport/CallerServer.h
@@ -6,10 +6,20 @@
 #include "transport/SidecarState.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <compare>
+#include <cstddef>
 #include <memory>
 
 namespace Ebonystack {
 
+/// Callers that do not have their whole response yet.
+struct SlowReaders {
+    std::size_t count { 0 }; ///< those whose response was written over a second ago
+    std::size_t unreadBytes { 0 }; ///< of all responses, as of the last tick
+
+    auto operator<=>(const SlowReaders&) const = default;
+};
+
 /// Belongs to the event loop's thread.
 class CallerServer {
 public:
@@ -24,6 +34,7 @@
     /// Number of connections with a request that is being read or served, or a response that the caller's
     /// system does not have yet.
     std::size_t busyCount() const;
+    SlowReaders slowReaders() const;
     /// Closes the connections that have no request or response in progress.
     void closeIdle();
 
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -4,11 +4,11 @@
 #include "coordination/EntryAdmission.h"
 #include "coordination/RetryAfterPolicy.h"
 #include "coordination/ServiceSplit.h"
+#include "transport/CallerDeadline.h"
 #include "transport/TokenClient.h"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -72,18 +72,6 @@
     return { text.data(), static_cast<std::size_t>(length) };
 }
 
-std::optional<Duration> readDeadline(const HttpFields& fields, const std::string& name)
-{
-    const auto value = fields.find(name);
-    std::uint64_t milliseconds = 0;
-    if (!value)
-        return std::nullopt;
-    const auto [end, error] = std::from_chars(value->data(), value->data() + value->size(), milliseconds);
-    if (error != std::errc() || milliseconds > static_cast<std::uint64_t>(toMilliseconds(maxCallTime)) * 60)
-        return std::nullopt;
-    return std::chrono::milliseconds(milliseconds);
-}
-
 } // namespace
 
 class EntryService::Internals : public std::enable_shared_from_this<Internals> {
@@ -139,7 +127,7 @@
             return notRunRefusal(ResultCode::RouteUnknown, "no route matches the request's host and path");
         if (auto refusal = authenticate(call))
             return refusal;
-        const auto callerRemainingTime = readDeadline(fields, names().deadline);
+        const auto callerRemainingTime = readCallerDeadline(fields, names().deadline);
         setDeadline(call, callerRemainingTime);
         if (!state.canFinish(call.deadline + responseTransitTime))
             return boundRetryAfter(call,
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -121,7 +121,9 @@
         m_previousTick = m_startedAt;
         nextTick();
         m_io.run();
-        Log::write(Log::Level::Info, "stopped", { { "leftOpen", m_entry.openCount() + m_hop.openCount() } });
+        Log::write(Log::Level::Info, "stopped",
+            { { "leftOpen", m_entry.openCount() + m_hop.openCount() },
+                { "leftUnread", m_callers.slowReaders().unreadBytes } });
     }
 
 private:
@@ -457,9 +459,10 @@
     {
         const auto lastSuccessAt = m_store.lastSuccessAt();
         const auto silence = lastSuccessAt ? std::optional(monotonicNow() - *lastSuccessAt) : std::nullopt;
-        const SidecarStats stats { m_hop.load(), m_callers.connectionCount(), m_pool.connectionCount(),
-            m_pool.openedCount(), m_pool.strayResponseCount(), m_links.upCount(), m_store.callCount(),
-            m_entry.openCount(), m_hop.openCount(), m_mirror.revision(), m_mirror.era(), silence };
+        const SidecarStats stats { m_hop.load(), m_callers.connectionCount(), m_callers.slowReaders(),
+            m_pool.connectionCount(), m_pool.openedCount(), m_pool.strayResponseCount(), m_links.upCount(),
+            m_store.callCount(), m_entry.openCount(), m_hop.openCount(), m_mirror.revision(), m_mirror.era(),
+            silence };
         return { 200, "text/plain; version=0.0.4", writeSidecarMetrics(m_state, stats) };
     }
 
--- a/src/transport/SidecarMetrics.cpp
+++ b/src/transport/SidecarMetrics.cpp
@@ -88,6 +88,19 @@
         "ebony_hold_seconds", "Mean time for which a slot is held.", toSeconds(stats.load.meanServiceTime)));
     families.push_back(makeGauge(
         "ebony_caller_connections", "Connections of callers.", static_cast<double>(stats.callerConnections)));
+    families.push_back(
+        makeGauge("ebony_slow_readers", "Callers that have not had their response for over a second.",
+            static_cast<double>(stats.slowReaders.count)));
+    families.push_back(
+        makeGauge("ebony_unread_response_bytes", "Bytes of responses that callers do not have yet.",
+            static_cast<double>(stats.slowReaders.unreadBytes)));
+    families.push_back(makeCounter("ebony_slow_readers_total",
+        "Responses that their callers did not have within a second.", counters.slowReaders));
+    MetricFamily cut = makeMetricFamily("ebony_slow_readers_cut_total",
+        "Responses that were cut off because they were read too slowly.", MetricType::Counter);
+    for (const auto& [cause, count] : counters.slowReadersCut)
+        addCounter(cut, { { "cause", cause } }, count);
+    families.push_back(std::move(cut));
     families.push_back(makeGauge("ebony_upstream_connections", "Connections to the upstream.",
         static_cast<double>(stats.upstreamConnections)));
     families.push_back(
--- a/src/transport/SidecarMetrics.h
+++ b/src/transport/SidecarMetrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "state/UpstreamLoad.h"
+#include "transport/CallerServer.h"
 #include "transport/SidecarState.h"
 
 #include <compare>
@@ -14,6 +15,7 @@
 struct SidecarStats {
     UpstreamLoad load;
     std::size_t callerConnections { 0 };
+    SlowReaders slowReaders;
     std::size_t upstreamConnections { 0 };
     std::uint64_t upstreamConnectionsOpened { 0 };
     std::uint64_t strayResponses { 0 };
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -42,6 +42,9 @@
     std::uint64_t cancelled { 0 };
     std::map<std::string, std::uint64_t>
         resumedRequests; ///< of other nodes after a lost link, by what they were told
+    std::uint64_t slowReaders { 0 }; ///< responses that their callers did not have after `slowReaderTime`
+    std::map<std::string, std::uint64_t>
+        slowReadersCut; ///< responses that were cut off, by "deadline" or "memory"
     std::uint64_t tokenRequests { 0 };
     std::map<std::string, LatencyHistogram> responseTimes; ///< of delivered responses, by route
     std::map<std::string, LatencyHistogram> gateWaits; ///< by route
--- a/test/correctness/CallerResourcesAreBounded.cpp
+++ b/test/correctness/CallerResourcesAreBounded.cpp
@@ -17,9 +17,15 @@
 
 struct CallerServerFixture {
     explicit CallerServerFixture(std::uint32_t descriptors, std::uint32_t memoryMegabytes)
+        : server(stateWith(descriptors, memoryMegabytes), entry.entry)
+    {
+    }
+
+    SidecarState& stateWith(std::uint32_t descriptors, std::uint32_t memoryMegabytes)
     {
         entry.state.settings.descriptors = descriptors;
         entry.state.settings.memoryMegabytes = memoryMegabytes;
+        return entry.state;
     }
 
     /// Opens a connection as a caller. Bytes received on it are appended to `received`.
@@ -83,7 +89,7 @@
     static constexpr std::size_t longBodyBytes = 200'000;
 
     EntryServiceFixture entry;
-    CallerServer server { entry.state, entry.entry };
+    CallerServer server;
     std::size_t accepted { 0 };
     StreamAcceptor acceptor { entry.io, "127.0.0.1:0", [this](auto socket) {
                                  ++accepted;
@@ -208,3 +214,41 @@
     caller.close();
     CHECK(fixture.runUntil([&] { return fixture.server.connectionCount() == 0; }));
 }
+
+// Guards against a bound on reading that ends before the time for which the caller waits.
+TEST_CASE("a slow reader keeps its response until its deadline, and is counted")
+{
+    CallerServerFixture fixture(100, 100);
+    auto caller = fixture.requestLongResponse(); // with a deadline of 20 s
+    fixture.respondAtLength();
+    const Instant start = monotonicNow();
+    fixture.runUntil([&] { return fixture.server.busyCount() == 0; });
+    fixture.server.tick(start + 19s);
+    CHECK(fixture.server.connectionCount() == 1);
+    CHECK(fixture.server.slowReaders().count == 1);
+    CHECK(fixture.server.slowReaders().unreadBytes > 0);
+    CHECK(fixture.entry.state.counters.slowReaders == 1);
+    fixture.server.tick(start + 21s);
+    CHECK(fixture.server.connectionCount() == 0);
+    CHECK(fixture.server.slowReaders() == SlowReaders {});
+    CHECK(fixture.entry.state.counters.slowReadersCut["deadline"] == 1);
+}
+
+TEST_CASE("of slow readers that hold too much memory the one with the longest response is cut off")
+{
+    CallerServerFixture fixture(100, 2); // about 400 KB for unread responses
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    for (int i = 0; i < 3; ++i) {
+        callers.push_back(fixture.requestLongResponse());
+        fixture.respondAtLength();
+    }
+    fixture.readUntil(callers.back(), [] { return false; });
+    fixture.entry.state.timers.advance(monotonicNow());
+    CHECK(fixture.server.connectionCount() == 3); // the caller that reads makes room for the others
+    callers.push_back(fixture.requestLongResponse());
+    fixture.respondAtLength();
+    fixture.runUntil([] { return false; });
+    fixture.entry.state.timers.advance(monotonicNow());
+    CHECK(fixture.server.connectionCount() == 3);
+    CHECK(fixture.entry.state.counters.slowReadersCut["memory"] == 1);
+}
