Streams to other VMs have the TCP user timeout again

Callers and the upstream are on the node's own VM. Their system acknowledges for as long as the node's does, so that only their room can be lacking, and no bound on silence is needed beside keep-alive: a slow reader has its deadline and the bound on memory, an exchange with the upstream the deadline of its request.

The limit of the status pages goes too, as they have the user timeout.

--- a/src/transport/ByteStream.cpp
+++ b/src/transport/ByteStream.cpp
@@ -20,10 +20,14 @@
 using ErrorCode = boost::system::error_code;
 using Tcp = Asio::ip::tcp;
 
-/// TCP keep-alive: an idle connection is probed after 3 s, and closed after a second without a response.
+/// A connection to another VM is closed if sent bytes stay unacknowledged, or the peer has no room, for this
+/// time.
+constexpr unsigned tcpUserTimeoutMilliseconds = 2500;
+/// TCP keep-alive: an idle connection is probed after 3 s and then once a second, and closed after two probes
+/// without a response.
 constexpr int keepAliveIdleSeconds = 3;
 constexpr int keepAliveIntervalSeconds = 1;
-constexpr int keepAliveProbeCount = 1;
+constexpr int keepAliveProbeCount = 2;
 /// Shared by all streams: the event loop has one thread, and callbacks copy the bytes that they keep.
 std::array<char, 65536> sharedReadBuffer;
 /// A larger output buffer is freed once it is written: most messages are smaller, and a node has many
@@ -36,30 +40,21 @@
     static_cast<void>(::setsockopt(socket, level, name, &value, sizeof value));
 }
 
-void configureSocket(Tcp::socket& socket)
+void configureSocket(Tcp::socket& socket, PeerLocation location)
 {
     ErrorCode ignored;
     socket.non_blocking(true, ignored);
     const int handle = socket.native_handle();
     setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-    // TCP_USER_TIMEOUT is not set: it also ends connections whose peer answers all probes of its closed
-    // window.
+    // Not on the same VM: the system also counts the time in which a peer answers all probes and has no room.
+    if (location == PeerLocation::OtherVm)
+        setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, tcpUserTimeoutMilliseconds);
     setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
     setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
     setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbeCount);
 }
 
-std::optional<AcknowledgementSample> sampleAcknowledgements(int socket, Instant now)
-{
-    tcp_info info {};
-    socklen_t size = sizeof info;
-    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
-        return std::nullopt;
-    return AcknowledgementSample { info.tcpi_total_retrans, info.tcpi_probes,
-        now - std::chrono::milliseconds(info.tcpi_last_ack_recv) };
-}
-
 std::optional<Tcp::endpoint> parseEndpoint(const std::string& text)
 {
     const auto colon = text.rfind(':');
@@ -84,10 +79,10 @@
 
 } // namespace
 
-ByteStream::ByteStream(Tcp::socket socket)
+ByteStream::ByteStream(Tcp::socket socket, PeerLocation location)
     : m_socket(std::move(socket))
 {
-    configureSocket(m_socket);
+    configureSocket(m_socket, location);
 }
 
 void ByteStream::start(OnBytes onBytes, OnEnd onEnd)
@@ -189,10 +184,6 @@
         return;
     }
     m_sent += error ? 0 : count;
-    if (!m_awaitsPeerCheck) {
-        m_silence.start(monotonicNow());
-        awaitPeerCheck();
-    }
     if (unsent() > 0)
         return awaitWritable();
     m_output.clear();
@@ -213,30 +204,6 @@
     });
 }
 
-void ByteStream::awaitPeerCheck()
-{
-    m_awaitsPeerCheck = true;
-    auto timer = std::make_shared<Asio::steady_timer>(m_socket.get_executor(),
-        std::chrono::duration_cast<std::chrono::steady_clock::duration>(silenceCheckPeriod));
-    timer->async_wait([weak = weak_from_this(), timer](const ErrorCode& error) {
-        const auto self = weak.lock();
-        if (!error && self && self->isOpen())
-            self->checkPeer();
-    });
-}
-
-void ByteStream::checkPeer()
-{
-    m_awaitsPeerCheck = false;
-    if (unacknowledged() == 0)
-        return;
-    const Instant now = monotonicNow();
-    const auto sample = sampleAcknowledgements(m_socket.native_handle(), now);
-    if (sample && m_silence.isSilent(*sample, now))
-        return end(StreamEnd::Broken);
-    awaitPeerCheck();
-}
-
 void ByteStream::end(StreamEnd how)
 {
     if (m_closesAfterWriting && how == StreamEnd::Closed && unacknowledged() > 0)
@@ -267,7 +234,7 @@
     });
 }
 
-void connectStream(Asio::io_context& io, const std::string& address, Duration timeout,
+void connectStream(Asio::io_context& io, const std::string& address, PeerLocation location, Duration timeout,
     std::function<void(std::shared_ptr<ByteStream>)> done)
 {
     struct Attempt {
@@ -291,11 +258,13 @@
         if (!error)
             attempt->socket.close(ignored);
     });
-    attempt->socket.async_connect(*endpoint, [attempt, done = std::move(done)](const ErrorCode& error) {
-        attempt->timer.cancel();
-        done(error || !attempt->socket.is_open() ? nullptr
-                                                 : std::make_shared<ByteStream>(std::move(attempt->socket)));
-    });
+    attempt->socket.async_connect(
+        *endpoint, [attempt, location, done = std::move(done)](const ErrorCode& error) {
+            attempt->timer.cancel();
+            done(error || !attempt->socket.is_open()
+                    ? nullptr
+                    : std::make_shared<ByteStream>(std::move(attempt->socket), location));
+        });
 }
 
 } // namespace Ebonystack
--- a/src/transport/ByteStream.h
+++ b/src/transport/ByteStream.h
@@ -1,10 +1,9 @@
 // One TCP connection on the node's event loop. Received bytes are passed to a callback; sent bytes are
-// buffered and written once per turn of the loop. A connection whose peer is silent is closed: by TCP
-// keep-alive while it is idle, and by a SilenceDetector while sent bytes are not acknowledged.
+// buffered and written once per turn of the loop. TCP keep-alive and, towards other VMs, the TCP user timeout
+// close a connection whose peer is silent.
 #pragma once
 
 #include "state/Time.h"
-#include "transport/SilenceDetector.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -22,13 +21,19 @@
     Broken, ///< timed out, or ended after an error on any operation
 };
 
+/// Where the peer of a connection is.
+enum class PeerLocation {
+    SameVm, ///< its system acknowledges for as long as this one runs: only its room can be lacking
+    OtherVm, ///< may be cut off, or lose power
+};
+
 /// Belongs to the event loop's thread. No callback is called after `close`.
 class ByteStream : public std::enable_shared_from_this<ByteStream> {
 public:
     using OnBytes = std::function<void(std::string_view)>;
     using OnEnd = std::function<void(StreamEnd)>;
 
-    explicit ByteStream(boost::asio::ip::tcp::socket);
+    ByteStream(boost::asio::ip::tcp::socket, PeerLocation);
     ByteStream(const ByteStream&) = delete;
     ByteStream& operator=(const ByteStream&) = delete;
 
@@ -60,8 +65,6 @@
     void onReadable();
     void flush();
     void awaitWritable();
-    void awaitPeerCheck();
-    void checkPeer();
     void end(StreamEnd);
     void shutdownSend();
     void closeWhenAcknowledged(Instant limit);
@@ -72,8 +75,6 @@
     std::string m_output;
     std::uint64_t m_written { 0 };
     std::size_t m_sent { 0 }; // bytes of m_output that are written to the socket
-    SilenceDetector m_silence;
-    bool m_awaitsPeerCheck { false };
     bool m_flushPosted { false };
     bool m_awaitsWritable { false };
     bool m_closesAfterWriting { false };
@@ -116,7 +117,14 @@
 
 /// Connects to `address` ("ip:port"). Calls `done` at most once, with null if the connection failed or was
 /// not established within `timeout`.
-void connectStream(boost::asio::io_context&, const std::string& address, Duration timeout,
+void connectStream(boost::asio::io_context&, const std::string& address, PeerLocation, Duration timeout,
     std::function<void(std::shared_ptr<ByteStream>)> done);
 
+/// Connects to an address of another VM.
+inline void connectStream(boost::asio::io_context& io, const std::string& address, Duration timeout,
+    std::function<void(std::shared_ptr<ByteStream>)> done)
+{
+    connectStream(io, address, PeerLocation::OtherVm, timeout, std::move(done));
+}
+
 } // namespace Ebonystack
--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -356,7 +356,7 @@
 void CallerServer::accept(boost::asio::ip::tcp::socket socket)
 {
     auto connection = std::make_shared<Internals::Connection>(m_internals->unreadBudget);
-    connection->stream = std::make_shared<ByteStream>(std::move(socket));
+    connection->stream = std::make_shared<ByteStream>(std::move(socket), PeerLocation::SameVm);
     connection->phaseStartedAt = monotonicNow();
     m_internals->addConnection(connection);
 }
--- a/src/transport/PeerLinks.cpp
+++ b/src/transport/PeerLinks.cpp
@@ -128,7 +128,7 @@
     void open(const OutgoingLinkPtr& link)
     {
         link->connecting = true;
-        connectStream(io, link->vm.text + ':' + std::to_string(port), connectTimeout,
+        connectStream(io, link->vm.text + ':' + std::to_string(port), PeerLocation::OtherVm, connectTimeout,
             [weak = weak_from_this(), link](std::shared_ptr<ByteStream> stream) {
                 const auto self = weak.lock();
                 if (!self)
@@ -369,7 +369,7 @@
 void PeerLinks::accept(boost::asio::ip::tcp::socket socket)
 {
     auto link = std::make_shared<Internals::IncomingLink>(m_internals->inputBudget);
-    link->stream = std::make_shared<ByteStream>(std::move(socket));
+    link->stream = std::make_shared<ByteStream>(std::move(socket), PeerLocation::OtherVm);
     link->lastReceivedAt = monotonicNow();
     m_internals->incoming.insert(link);
     startStream(*link->stream, std::weak_ptr<Internals>(m_internals),
--- a/src/transport/StatusServer.cpp
+++ b/src/transport/StatusServer.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr std::uint32_t maxHeaderBytes = 8192;
-/// A client that requests pages and does not read them is disconnected.
-constexpr std::size_t maxUnreadBytes = 1 << 20;
 
 } // namespace
 
@@ -32,7 +30,7 @@
     void accept(boost::asio::ip::tcp::socket socket)
     {
         auto connection = std::make_shared<Connection>();
-        connection->stream = std::make_shared<ByteStream>(std::move(socket));
+        connection->stream = std::make_shared<ByteStream>(std::move(socket), PeerLocation::OtherVm);
         connections.insert(connection);
         startStream(*connection->stream, weak_from_this(), std::weak_ptr<Connection>(connection),
             &Internals::onBytes, &Internals::onEnd);
@@ -58,11 +56,6 @@
             response.body = page.body;
         }
         connection->parser = RequestParser(maxHeaderBytes, 0);
-        if (connection->stream->unsent() > maxUnreadBytes) {
-            connection->stream->close();
-            connections.erase(connection);
-            return;
-        }
         connection->stream->write(writeResponse(response.head, response.body, false));
         if (!response.head.keepAlive) {
             connection->stream->closeAfterWriting();
--- a/src/transport/UpstreamConnectionPool.cpp
+++ b/src/transport/UpstreamConnectionPool.cpp
@@ -102,7 +102,7 @@
     void open(ExchangeId exchange, UpstreamRequest request, Callback done)
     {
         connecting.insert(exchange);
-        connectStream(io, address, connectTimeout,
+        connectStream(io, address, PeerLocation::SameVm, connectTimeout,
             [self = shared_from_this(), exchange, request = std::move(request), done = std::move(done)](
                 std::shared_ptr<ByteStream> stream) mutable {
                 if (self->connecting.erase(exchange) == 0)
