--- a/src/coordination/RecordLapse.cpp
+++ b/src/coordination/RecordLapse.cpp
@@ -1,6 +1,8 @@
 // A record can't have lapsed if less time has passed since it can have been renewed last.
 #include "coordination/RecordLapse.h"
 
+#include <algorithm>
+
 namespace Ebonystack {
 namespace {
 
--- a/src/coordination/StoreReachability.h
+++ b/src/coordination/StoreReachability.h
@@ -31,7 +31,8 @@
     /// Nothing if there is no recent report of the VM's node.
     std::optional<StoreContact> contactOf(const VmId&, Instant now) const;
     const StoreContact& local() const { return m_local; }
-    /// Whether most other VMs with a recent report have also lost the store during the outage of `vm`.
+    /// Whether most other VMs with a recent report have also lost the store during the outage of `vm`. Takes
+    /// time proportional to the number of VMs.
     bool isFleetOutage(const VmId& vm, const StoreOutage&, Instant now) const;
 
 private:
