Count the grace of records that a restored store lacks from when the store was back

An upstream whose record is missing from the copy of a restored store stayed in use for 3 s from when a node heard of that. A node that is cut off while the store is restored hears seconds later, after the upstream was written again and has left, and would go on sending for 3 s more: beyond the drain time, and beyond the time from which the machine counts as in touch.

Cause: a clock that starts when news is heard against a bound that starts when it was spoken.

Now the period runs from the first response that any node had after the outage, by the contacts that nodes report with their heartbeats (the store can't have been back later), and without such a report from the last sign of the store that the node had before; from hearing only where the age of the news is not known. The limit can only get shorter, so that reports that come later count, too.

--- a/src/coordination/RecordLapse.cpp
+++ b/src/coordination/RecordLapse.cpp
@@ -71,4 +71,17 @@
     return inUseUntil(record, *vm, reachability, heartbeat, now);
 }
 
+Instant inUseAfterRestoreUntil(const ChangeTime& lost, const StoreReachability& reachability, Instant now)
+{
+    if (!lost.madeAfter)
+        return lost.heardAt + restoredRecordGrace;
+    // The store went away after the last sign of it that this node had before its own outage.
+    const StoreContact& local = reachability.local();
+    Instant awayAfter = std::max(*lost.madeAfter, local.lostAfter.value_or(Instant()));
+    if (!local.lostAfter && local.lastOutage)
+        awayAfter = std::max(awayAfter, local.lastOutage->beganAfter);
+    const auto backBy = reachability.firstOutageEndAfter(awayAfter, now);
+    return std::min(backBy.value_or(awayAfter), lost.heardAt) + restoredRecordGrace;
+}
+
 } // namespace Ebonystack
--- a/src/coordination/RecordLapse.h
+++ b/src/coordination/RecordLapse.h
@@ -13,6 +13,9 @@
 /// store is reachable again, and heard of within half a second.
 constexpr Duration lapsedRecordGrace = std::chrono::milliseconds(2500);
 
+/// Records that a restored store lacks are written again, and read, within about this time after it is back.
+constexpr Duration restoredRecordGrace = std::chrono::milliseconds(3000);
+
 /// A record that the store has no longer.
 struct MissingRecord {
     VmId vm;
@@ -24,4 +27,8 @@
 /// with the store. `heartbeat` is the interval at which upstreams renew their records.
 Instant inUseUntil(const MissingRecord&, const StoreReachability&, Duration heartbeat, Instant now);
 
+/// Until when an upstream stays in use whose record a restored store lacks: the grace period runs from when
+/// the store was back, and not from when this node hears of it.
+Instant inUseAfterRestoreUntil(const ChangeTime& lost, const StoreReachability&, Instant now);
+
 } // namespace Ebonystack
--- a/src/coordination/StoreReachability.cpp
+++ b/src/coordination/StoreReachability.cpp
@@ -66,6 +66,20 @@
     return 2 * sharing > recent;
 }
 
+std::optional<Instant> StoreReachability::firstOutageEndAfter(Instant time, Instant now) const
+{
+    std::optional<Instant> first;
+    for (const auto& [vm, report] : m_reports) {
+        const StoreContact& contact = report.contact;
+        const bool hasRegained
+            = now - report.at <= reportLifetime && !contact.lostAfter && contact.lastOutage.has_value();
+        if (!hasRegained || contact.lastOutage->endedBy <= time)
+            continue;
+        first = std::min(first.value_or(Instant::max()), contact.lastOutage->endedBy);
+    }
+    return first;
+}
+
 std::optional<StoreContact> StoreReachability::contactOf(const VmId& vm, Instant now) const
 {
     const Report* report = recentReport(vm, now);
--- a/src/coordination/StoreReachability.h
+++ b/src/coordination/StoreReachability.h
@@ -34,6 +34,9 @@
     /// Whether most other VMs with a recent report have also lost the store during the outage of `vm`. Takes
     /// time proportional to the number of VMs.
     bool isFleetOutage(const VmId& vm, const StoreOutage&, Instant now) const;
+    /// The first response after `time` that ended an outage of a node which reports recently and has not lost
+    /// the store again. Takes time proportional to the number of VMs.
+    std::optional<Instant> firstOutageEndAfter(Instant time, Instant now) const;
 
 private:
     struct Report {
--- a/src/coordination/UpstreamDirectory.cpp
+++ b/src/coordination/UpstreamDirectory.cpp
@@ -112,6 +112,11 @@
                 <= now;
         return upstream.expiresAt && *upstream.expiresAt <= now;
     };
+    for (auto& [instance, upstream] : m_upstreams) {
+        if (upstream.expiresAt)
+            upstream.expiresAt
+                = std::min(*upstream.expiresAt, inUseAfterRestoreUntil(*upstream.removed, reachability, now));
+    }
     m_version += std::erase_if(m_upstreams, [&](const auto& item) {
         if (!hasEnded(item.second))
             return false;
--- a/src/coordination/UpstreamDirectory.h
+++ b/src/coordination/UpstreamDirectory.h
@@ -31,8 +31,6 @@
     auto operator<=>(const KnownUpstream&) const = default;
 };
 
-/// Records that a restored store lacks are written again, and read, within about this time.
-constexpr Duration restoredRecordGrace = std::chrono::milliseconds(3000);
 /// A restored store removes the records of upstreams that have ended within this time.
 constexpr Duration restoredRecordLapse = std::chrono::seconds(7);
 
@@ -50,8 +48,9 @@
     /// Called when a record was written, or is in the copy from which the store came back. A copy that is
     /// older than what the upstream said last counts only if it is still there after `restoredRecordLapse`.
     void put(const UpstreamRecord&, const StorePosition&, const ChangeTime&);
-    /// Called when a record was removed. With `graceUntil` the record may have lapsed only because the store
-    /// could not be reached: the upstream stays in use until then, unless it is draining.
+    /// Called when a record was removed. With `graceUntil` it is only missing from the copy from which the
+    /// store came back: the upstream stays in use, unless it is draining, until then at most, and for as long
+    /// as `inUseAfterRestoreUntil` allows.
     void remove(const InstanceId&, std::optional<Instant> graceUntil, const ChangeTime&);
     /// Called when a record was removed. Unless it is draining, the upstream stays in use for as long as
     /// `inUseUntil` allows.
--- a/test/correctness/OldCopiesBringNothingBack.cpp
+++ b/test/correctness/OldCopiesBringNothingBack.cpp
@@ -86,6 +86,30 @@
     CHECK(isUsable(directory));
 }
 
+// Guards against requests to an upstream that left while this node heard nothing of the restored store.
+TEST_CASE("the grace period of a record that the copy lacks runs from when the store was back, not from when "
+          "that is heard")
+{
+    const Instant back = start + 2s;
+    const Instant until = back + restoredRecordGrace;
+    for (const Instant heardAt : { back + 1s, until, until + 5s }) {
+        StoreReachability reachability; // this node's own outage ends as it hears of the restore
+        const Instant ownBack = heardAt - 1ms;
+        reachability.setLocal({ ownBack, {}, StoreOutage { start - 1s, ownBack, ownBack } });
+        reachability.report({ "10.0.0.2" }, true, heardAt,
+            StoreContact { heardAt, {}, StoreOutage { start, back - 100ms, back } });
+        UpstreamDirectory directory;
+        directory.put(makeRecord(1, 9), { 1, 20 }, start - 60s);
+        directory.remove(instance, heardAt + restoredRecordGrace, { heardAt, start - 500ms });
+        directory.expire(reachability, heardAt);
+        CHECK(isUsable(directory) == (heardAt < until));
+        directory.expire(reachability, std::max(heardAt, until - 1ms));
+        CHECK(isUsable(directory) == (heardAt < until));
+        directory.expire(reachability, std::max(heardAt, until));
+        CHECK_FALSE(isUsable(directory));
+    }
+}
+
 TEST_CASE("an address stays with the upstream that took it over, until the copy's upstream is removed")
 {
     UpstreamDirectory directory;
