Bound what a node remembers of other VMs and processes

Seen by callers: nothing.

- DroppedRecords remembers 4,096 processes; the one whose records were dropped longest ago is forgotten.
"Not run" must stay true: the highest number of a forgotten process becomes the lower limit for all processes that are not remembered, so that a request up to it has an unknown outcome.
A process that is added again begins at that limit, since a lower number may be dropped after a higher one.
- StoreReachability forgets a report after 10 minutes when a new VM reports.

--- a/src/coordination/StoreReachability.cpp
+++ b/src/coordination/StoreReachability.cpp
@@ -9,6 +9,10 @@
 /// Nodes report with every heartbeat; a VM that has missed several may be down.
 constexpr Duration reportLifetime = std::chrono::milliseconds(2500);
 
+/// Older reports are forgotten when a new VM reports. What was known of a VM's contact is used for nodes that
+/// don't report it themselves, so that reports are kept for longer than they count.
+constexpr Duration reportRetention = std::chrono::minutes(10);
+
 bool hasSharedOutage(const StoreContact& contact, const StoreOutage& outage)
 {
     if (contact.lostAfter)
@@ -38,6 +42,8 @@
 {
     const auto known = m_reports.find(vm);
     const Report* previous = known == m_reports.end() ? nullptr : &known->second;
+    if (!previous)
+        std::erase_if(m_reports, [&](const auto& item) { return now - item.second.at > reportRetention; });
     const Report report { reachesStore, now, contact ? *contact : contactAfter(previous, reachesStore, now) };
     m_reports.insert_or_assign(vm, report);
 }
--- a/src/coordination/StoreReachability.h
+++ b/src/coordination/StoreReachability.h
@@ -31,6 +31,8 @@
     /// Nothing if there is no recent report of the VM's node.
     std::optional<StoreContact> contactOf(const VmId&, Instant now) const;
     const StoreContact& local() const { return m_local; }
+    /// The number of VMs of which a report is kept.
+    std::size_t size() const { return m_reports.size(); }
     /// Whether most other VMs with a recent report have also lost the store during the outage of `vm`. Takes
     /// time proportional to the number of VMs.
     bool isFleetOutage(const VmId& vm, const StoreOutage&, Instant now) const;
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -1,6 +1,7 @@
 // Keeps one job per request. A job waits at the gate, runs at the upstream and ends with a response.
 #include "transport/HopService.h"
 
+#include "coordination/DroppedRecords.h"
 #include "coordination/LocalUpstream.h"
 #include "coordination/RetryMonitor.h"
 #include "coordination/SlotGate.h"
@@ -474,15 +475,7 @@
     void dropRecord(const Job& job)
     {
         jobs.erase({ job.origin, job.request.number });
-        std::uint64_t& last = lastDropped[job.origin];
-        last = std::max(last, job.request.number);
-    }
-
-    /// Whether a request without a record may have had one. Numbers increase with time.
-    bool mayHaveBeenDropped(const HopOrigin& origin, std::uint64_t number) const
-    {
-        const auto last = lastDropped.find(origin);
-        return last != lastDropped.end() && number <= last->second;
+        droppedRecords.add(job.origin, job.request.number);
     }
 
     /// Ends a job. The job of a non-idempotent request that reached the upstream stays for `resume`.
@@ -560,7 +553,7 @@
             reply(origin, *job->response);
             return "answered";
         }
-        const bool neverArrived = !job && wasSentHere && !mayHaveBeenDropped(origin, number);
+        const bool neverArrived = !job && wasSentHere && !droppedRecords.mayInclude(origin, number);
         HopResponse response;
         response.number = number;
         response.outcome = neverArrived ? HopOutcome::NotRun : HopOutcome::OutcomeUnknown;
@@ -606,9 +599,7 @@
     ValueRationing repeatRationing;
     RetryMonitor retryMonitor;
     std::map<JobKey, JobPtr> jobs; // those that wait or run, and ended non-idempotent ones that are retained
-    /// The highest number of a request of each entry node's process whose record was dropped with time. An
-    /// entry node may ask later than that: the clock of a VM that stands still can stand still too.
-    std::map<HopOrigin, std::uint64_t> lastDropped;
+    DroppedRecords droppedRecords;
     std::size_t openJobs { 0 }; // jobs that wait or run
     std::unordered_map<GateTicket, JobPtr> waiting; // jobs at the gate
     std::map<HopOrigin, Instant>
--- a/src/transport/PeerLinks.h
+++ b/src/transport/PeerLinks.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "protocol/PeerFrame.h"
+#include "state/HopOrigin.h"
 #include "transport/DecisionLog.h"
 
 #include <boost/asio/io_context.hpp>
@@ -16,14 +17,6 @@
 
 namespace Ebonystack {
 
-/// The process that sent a request.
-struct HopOrigin {
-    VmId vm;
-    std::uint64_t incarnation { 0 };
-
-    auto operator<=>(const HopOrigin&) const = default;
-};
-
 /// Callbacks for events on links. Called on the event loop's thread.
 class PeerEvents {
 public:
