--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -1,6 +1,7 @@
 // Composition, periodic work, store updates, readiness, settings reload and shutdown of a node.
 #include "transport/Sidecar.h"
 
+#include "coordination/ArrivalTimes.h"
 #include "coordination/StoreMirror.h"
 #include "coordination/StoreReachability.h"
 #include "transport/ByteStream.h"
@@ -35,10 +36,6 @@
 
 constexpr Duration poolPeriod = 100ms;
 constexpr Duration linkPeriod = 50ms;
-/// A longer gap between ticks means that the process was stalled and its state of other nodes is outdated.
-constexpr Duration stallThreshold = 400ms;
-/// After a stall, links are not checked for silence for this time.
-constexpr Duration stallRecoveryTime = 500ms;
 /// Minimum time from the stop signal to the end of the process, in which the platform learns that this node
 /// is leaving. The node keeps serving during this time.
 constexpr Duration minLeaveTime = 2500ms;
@@ -117,8 +114,7 @@
         awaitReload();
         schedulePeriodicWork();
         m_feed.start(m_startedAt);
-        m_lastTick = m_startedAt;
-        m_previousTick = m_startedAt;
+        m_arrivalTimes = ArrivalTimes(m_startedAt);
         nextTick();
         m_io.run();
         Log::write(Log::Level::Info, "stopped",
@@ -181,14 +177,11 @@
     void onTick()
     {
         const Instant now = monotonicNow();
-        if (now - m_lastTick > stallThreshold) {
-            m_stalledAt = now;
-            m_stalledSince = m_lastTick;
+        if (const auto stall = m_arrivalTimes.tick(now)) {
             m_state.log.state("process stood still", now, [&] {
-                return nlohmann::json { { "forMs", toMilliseconds(now - m_lastTick) } };
+                return nlohmann::json { { "forMs", toMilliseconds(*stall) } };
             });
         }
-        m_previousTick = std::exchange(m_lastTick, now);
         m_state.timers.advance(now);
         if (m_state.isLeaving())
             stopWhenIdle(now);
@@ -200,7 +193,7 @@
         m_state.directory.expire(m_storeReachability, now);
         if (std::exchange(m_directoryChanged, false) || now - m_peersRefreshedAt > housekeepingPeriod)
             refreshPeers(now);
-        if (!m_stalledAt || now - *m_stalledAt > stallRecoveryTime)
+        if (!m_arrivalTimes.isCatchingUp(now)) // links are not checked for silence
             m_links.tick(now);
         m_feed.tick(now);
     }
@@ -336,17 +329,10 @@
             agesOf(m_store.contact(), now) };
     }
 
-    /// When a frame that is read now can have arrived: frames wait while the process stands still.
-    Instant earliestArrival(Instant now) const
-    {
-        const bool isCatchingUp = m_stalledAt && now - *m_stalledAt < stallRecoveryTime;
-        return isCatchingUp ? m_stalledSince : m_previousTick;
-    }
-
     void onHeartbeat(const VmId& vm, const LinkHeartbeat& heartbeat) override
     {
         const Instant now = monotonicNow();
-        const Instant arrivedAfter = earliestArrival(now);
+        const Instant arrivedAfter = m_arrivalTimes.earliestArrival(now);
         m_state.recordLoadReport(vm, heartbeat.load, now);
         m_storeReachability.report(vm, heartbeat.reachesStore, now,
             heartbeat.storeContact ? std::optional(contactOf(*heartbeat.storeContact, arrivedAfter))
@@ -373,7 +359,7 @@
         const Instant now = monotonicNow();
         if (push.sinceAge) {
             m_mirror.confirm({ push.update.era.value_or(m_mirror.era()), push.update.since },
-                earliestArrival(now) - *push.sinceAge);
+                m_arrivalTimes.earliestArrival(now) - *push.sinceAge);
         }
         m_feed.onPush(vm, push, now);
     }
@@ -544,12 +530,9 @@
     StatusServer m_readiness;
     std::optional<StatusServer> m_metrics;
     Instant m_startedAt;
-    Instant m_lastTick;
-    Instant m_previousTick;
     Instant m_peersRefreshedAt;
     Instant m_leavingSince; // set while the node is leaving
-    std::optional<Instant> m_stalledAt;
-    Instant m_stalledSince; // when the node was last seen to run before m_stalledAt
+    ArrivalTimes m_arrivalTimes { monotonicNow() };
     bool m_directoryChanged { false };
     bool m_stopping { false };
 };
--- a/test/correctness/AgeOfNewsIsKnown.cpp
+++ b/test/correctness/AgeOfNewsIsKnown.cpp
@@ -1,5 +1,6 @@
 // A node knows how old its news of the store can be: by its own calls, and by what its peers say of theirs.
 #include "Adapter.h"
+#include "coordination/ArrivalTimes.h"
 #include "coordination/StoreMirror.h"
 #include "protocol/PeerFrame.h"
 #include "support/RunLoop.h"
@@ -117,3 +118,21 @@
     heartbeat.storeContact = StoreContactAges { 5h, 5h, {}, {}, {} };
     CHECK(decoded(heartbeat) == heartbeat);
 }
+
+TEST_CASE("a frame that waited while the process stood still does not look fresh")
+{
+    ArrivalTimes times(start);
+    CHECK_FALSE(times.tick(start + 10ms));
+    CHECK_FALSE(times.tick(start + 20ms));
+    CHECK(times.earliestArrival(start + 25ms) == start + 10ms);
+    const Instant resumed = start + 2s;
+    CHECK(times.tick(resumed) == resumed - (start + 20ms));
+    CHECK(times.isCatchingUp(resumed));
+    CHECK(times.earliestArrival(resumed) == start + 20ms);
+    CHECK_FALSE(times.tick(resumed + 10ms));
+    CHECK(times.earliestArrival(resumed + 15ms) == start + 20ms);
+    for (Instant now = resumed + 20ms; now < resumed + 1s; now += 10ms)
+        times.tick(now);
+    CHECK_FALSE(times.isCatchingUp(resumed + 1s));
+    CHECK(times.earliestArrival(resumed + 1s) == resumed + 980ms);
+}
--- a/test/correctness/StoreReaderListsAndWatches.cpp
+++ b/test/correctness/StoreReaderListsAndWatches.cpp
@@ -6,6 +6,8 @@
 #include "transport/StoreReader.h"
 #include "transport/SystemClock.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 using namespace Ebonystack;
@@ -233,3 +235,34 @@
     });
     CHECK(fixture.runUntil([&] { return watches == 3; }));
 }
+
+// Guards against taking the lapse of records after a reset for a leave, or a leave for a lapse.
+TEST_CASE("a store that resets the connection of a pending watch was in contact until then")
+{
+    using Tcp = boost::asio::ip::tcp;
+    boost::asio::io_context io;
+    boost::asio::io_context storeIo;
+    Tcp::acceptor store(storeIo, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    TimerService timers;
+    Platform::Adapter adapter;
+    DecisionLog log;
+    StoreMirror mirror([](const StoreItem&) {});
+    StoreReader reader(
+        io, timers, adapter, mirror, log, "127.0.0.1:" + std::to_string(store.local_endpoint().port()), 1);
+    const auto runUntil = [&](const auto& condition) {
+        return Testing::runUntil(io, condition, 3s, [&] { timers.advance(monotonicNow()); });
+    };
+    reader.setPlan({ StoreMode::Watch, 10ms, 2s });
+    reader.start(monotonicNow());
+    REQUIRE(runUntil([&] { return reader.callCount() == 1; }));
+    Tcp::socket connection = store.accept();
+    boost::asio::write(connection, boost::asio::buffer(respond(emptyPage).bytes));
+    REQUIRE(runUntil([&] { return reader.callCount() == 2; }));
+    const Instant pendingSince = monotonicNow();
+    runUntil([&] { return monotonicNow() - pendingSince > 200ms; });
+    const Instant resetAt = monotonicNow();
+    connection.set_option(boost::asio::socket_base::linger(true, 0));
+    connection.close();
+    REQUIRE(runUntil([&] { return reader.contact().lostAfter.has_value(); }));
+    CHECK(*reader.contact().lostAfter >= resetAt);
+}
