--- a/src/coordination/StoreReachability.cpp
+++ b/src/coordination/StoreReachability.cpp
@@ -9,6 +9,10 @@
 /// Nodes report with every heartbeat; a VM that has missed several may be down.
 constexpr Duration reportLifetime = std::chrono::milliseconds(2500);
 
+/// Older reports are forgotten when a new VM reports. What was known of a VM's contact is used for nodes that
+/// don't report it themselves, so that reports are kept for longer than they count.
+constexpr Duration reportRetention = std::chrono::minutes(10);
+
 bool hasSharedOutage(const StoreContact& contact, const StoreOutage& outage)
 {
     if (contact.lostAfter)
@@ -38,6 +42,8 @@
 {
     const auto known = m_reports.find(vm);
     const Report* previous = known == m_reports.end() ? nullptr : &known->second;
+    if (!previous)
+        std::erase_if(m_reports, [&](const auto& item) { return now - item.second.at > reportRetention; });
     const Report report { reachesStore, now, contact ? *contact : contactAfter(previous, reachesStore, now) };
     m_reports.insert_or_assign(vm, report);
 }
@@ -66,6 +72,20 @@
     return 2 * sharing > recent;
 }
 
+std::optional<Instant> StoreReachability::firstOutageEndAfter(Instant time, Instant now) const
+{
+    std::optional<Instant> first;
+    for (const auto& [vm, report] : m_reports) {
+        const StoreContact& contact = report.contact;
+        const bool hasRegained
+            = now - report.at <= reportLifetime && !contact.lostAfter && contact.lastOutage.has_value();
+        if (!hasRegained || contact.lastOutage->endedBy <= time)
+            continue;
+        first = std::min(first.value_or(Instant::max()), contact.lastOutage->endedBy);
+    }
+    return first;
+}
+
 std::optional<StoreContact> StoreReachability::contactOf(const VmId& vm, Instant now) const
 {
     const Report* report = recentReport(vm, now);
