Keep a response for an entry node whose link is lost until the deadline

What callers see: a non-idempotent request ran, its upstream answered, the link to its entry node is lost and comes back more than 5 s after the answer, before the deadline: 502 instead of the response.

Why it works: a response counts as possibly undelivered if it could not be sent, or if the link of its entry node was lost after it was sent, until the entry node resumes it. Such a response is kept until the request's deadline, as long as the entry node waits. One whose entry node has given up, or whose process has ended, is kept for 5 s as before. A lost response is noticed in time: links to other VMs have a TCP user timeout of 2.5 s, and the accepting side ends a silent link after 3.2 s. The model of the links now has the latter.

--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -33,6 +33,7 @@
 /// How long an entry node has to resume its requests after its link is lost.
 constexpr Duration resumeTimeout = 1200ms;
 /// How long responses to non-idempotent requests are kept: one may have been lost with a failing link.
+/// Longer, until the deadline, if the link has failed and is not up again.
 constexpr Duration responseRetention = 5s;
 /// How long after its deadline the record of a non-idempotent request is kept. Later its outcome is unknown.
 constexpr Duration outcomeRetention = 60s;
@@ -65,7 +66,8 @@
         bool cancelled { false }; // non-idempotent: runs to its end, its response is not sent
         std::string id; // request id set by the caller, for logs
         bool ended { false };
-        std::optional<HopResponse> response; // of an ended non-idempotent job, for responseRetention
+        std::optional<HopResponse> response; // of an ended non-idempotent job, see responseRetention
+        bool mayBeUndelivered { false }; // the response: the link was lost, and the request not resumed since
     };
     using JobPtr = std::shared_ptr<Job>;
     using JobKey = std::pair<HopOrigin, std::uint64_t>;
@@ -452,7 +454,7 @@
             retainOutcome(job, response);
         endJob(job);
         if (!job->cancelled)
-            reply(job->origin, std::move(response));
+            job->mayBeUndelivered = !reply(job->origin, std::move(response));
     }
 
     /// Keeps the outcome of a non-idempotent request for an entry node that does not receive the response.
@@ -463,7 +465,12 @@
         kept.number = job->request.number;
         job->request = std::move(kept);
         const Instant now = state.now();
-        state.timers.at(now + responseRetention, [job](Instant) { job->response.reset(); });
+        state.timers.at(now + responseRetention, [weak = weak_from_this(), job](Instant) {
+            const auto self = weak.lock();
+            if (!self || !job->mayBeUndelivered)
+                return job->response.reset();
+            self->state.timers.at(job->deadline, [job](Instant) { job->response.reset(); });
+        });
         state.timers.at(
             std::max(now, job->deadline) + outcomeRetention, [weak = weak_from_this(), job](Instant) {
                 if (const auto self = weak.lock())
@@ -533,8 +540,10 @@
     void resume(const HopOrigin& origin, const std::vector<std::uint64_t>& numbers, bool wereSentHere)
     {
         for (const JobPtr& job : jobsOf(origin)) {
-            if (std::ranges::find(numbers, job->request.number) == numbers.end())
-                cancel(job);
+            if (std::ranges::find(numbers, job->request.number) != numbers.end())
+                continue;
+            job->mayBeUndelivered = false; // not awaited
+            cancel(job);
         }
         std::map<std::string, std::uint64_t> outcomes;
         for (const std::uint64_t number : numbers)
@@ -554,10 +563,11 @@
         const JobPtr job = find(origin, number);
         if (job && !job->ended) {
             job->cancelled = false; // it was if the link was down for longer than resumeTimeout
+            job->mayBeUndelivered = false;
             return "running"; // its response is sent when it ends
         }
         if (job && job->response) {
-            reply(origin, *job->response);
+            job->mayBeUndelivered = !reply(origin, *job->response);
             return "answered";
         }
         const bool neverArrived = !job && wasSentHere && !mayHaveBeenDropped(origin, number);
@@ -575,6 +585,8 @@
         const std::vector<JobPtr> lost = jobsOf(origin);
         if (lost.empty())
             return;
+        for (const JobPtr& job : lost)
+            job->mayBeUndelivered = !processEnded;
         const Instant lostAt = state.now();
         const auto cancelLost = [weak = weak_from_this(), lost, origin, lostAt](Instant) {
             const auto self = weak.lock();
--- a/test/correctness/HopServiceReportsExecution.cpp
+++ b/test/correctness/HopServiceReportsExecution.cpp
@@ -277,6 +277,33 @@
     CHECK(fixture.responses[0].outcome == HopOutcome::Responded);
 }
 
+// Guards against losing a response that came after the resume time, before the link was back.
+TEST_CASE("a non-idempotent request that ended while its link was lost gets its response until its deadline")
+{
+    HopServiceFixture fixture(makeValidResponse);
+    Instant now = fixture.state.now();
+    fixture.state.clock = [&] { return now; };
+    HopRequest request = HopServiceFixture::makeRequest(1, false);
+    request.remainingTime = std::chrono::seconds(10);
+    fixture.hop.request(fixture.origin, std::move(request));
+    fixture.hop.originLost(fixture.origin, false);
+    const auto advance = [&](std::chrono::milliseconds time) {
+        now += time;
+        fixture.state.timers.advance(now);
+    };
+    advance(std::chrono::milliseconds(1500));
+    fixture.runUntil([&] { return fixture.hop.openCount() == 0; });
+    CHECK(fixture.responses.empty());
+    advance(std::chrono::milliseconds(8000));
+    fixture.hop.resume(fixture.origin, { 1 }, true);
+    REQUIRE(fixture.responses.size() == 1);
+    CHECK(fixture.responses[0].outcome == HopOutcome::Responded);
+    advance(std::chrono::milliseconds(1000));
+    fixture.hop.resume(fixture.origin, { 1 }, true);
+    REQUIRE(fixture.responses.size() == 2);
+    CHECK(fixture.responses[1].outcome == HopOutcome::OutcomeUnknown); // no longer kept
+}
+
 // Guards against running a request again whose entry node stood still, with its clock, for over a minute.
 TEST_CASE("a request that ran is not reported as not run after its record was dropped")
 {
--- a/test/support/ModelledFleet.h
+++ b/test/support/ModelledFleet.h
@@ -88,26 +88,32 @@
         m_nodes[sent.vm]->entry.cancel(sent.call);
     }
 
-    void loseLink(std::size_t from, std::size_t to, LinkLoss loss)
+    /// It is opened again after `cut`, or after a random time.
+    void loseLink(std::size_t from, std::size_t to, LinkLoss loss, std::optional<Duration> cut = {})
     {
         Link& link = m_links[from][to];
         if (!link.isUp)
             return;
         if (loss != LinkLoss::EntryNodeFirst && m_nodes[to])
             dropIncoming(to, from, link.generation, false);
-        const auto onLost = [this, from, to, generation = link.generation] {
+        const auto onLost = [this, from, to, cut, generation = link.generation] {
             Link& lost = m_links[from][to];
             if (!lost.isUp || lost.generation != generation)
                 return;
             lost.isUp = false;
             if (m_nodes[from])
                 m_nodes[from]->entry.onLinkDown(vmId(to));
-            openLater(from, to);
+            openLater(from, to, cut);
         };
         if (loss == LinkLoss::UpstreamNodeFirst)
             m_clock.after(randomTime(300ms), onLost);
         else
             onLost();
+        if (loss == LinkLoss::EntryNodeFirst) {
+            m_clock.after(incomingSilenceTimeout, [this, from, to, generation = link.generation] {
+                dropIncoming(to, from, generation, false);
+            });
+        }
     }
 
     /// Ends the node's process and starts another after `time`. What the others have sent to it stays unread.
@@ -209,6 +215,7 @@
 
 private:
     static constexpr Duration silenceTimeout = 1600ms;
+    static constexpr Duration incomingSilenceTimeout = 2 * silenceTimeout;
     static constexpr std::uint32_t slots = 6;
 
     /// From an entry node to the node of an upstream.
@@ -422,10 +429,10 @@
         node->hop.originLost(origin, processEnded);
     }
 
-    void openLater(std::size_t from, std::size_t to)
+    void openLater(std::size_t from, std::size_t to, std::optional<Duration> delay = {})
     {
         if (from != to && m_nodes[from])
-            m_clock.after(randomTime(random.below(3) == 0 ? 3000ms : 100ms),
+            m_clock.after(delay ? *delay : randomTime(random.below(3) == 0 ? 3000ms : 100ms),
                 [this, from, to, process = m_nodes[from]->origin.incarnation] {
                     if (isAlive(from, process))
                         open(from, to);
