Open a lost link again for requests under way, also without a record of the VM

What callers see: a non-idempotent request runs, the link to its upstream's node is lost, and the upstream's record is removed or lapses before the link is up again. The caller gets 504 at its deadline, though the node is there and has the response.

Cause: links are opened to the VMs with a record only. Without one, a lost link is forgotten, and its requests are never resumed.

Why it works: the VMs whose nodes have open requests are peers too. No new request goes there: upstreams are selected by their records. If another process has the address by then, its incarnation differs, and the request ends as one that may have run, as before.

That Sidecar opens such a link is not tested by a run of real processes.

--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -803,6 +803,16 @@
 
 void EntryService::updateAdmittedShares(Instant now) { m_internals->updateAdmittedShares(now); }
 
+std::set<VmId> EntryService::awaitedVms() const
+{
+    std::set<VmId> vms;
+    for (const auto& [id, call] : m_internals->calls) {
+        if (call->hopNumber != 0)
+            vms.insert(call->hopVm);
+    }
+    return vms;
+}
+
 std::size_t EntryService::openCount() const { return m_internals->calls.size(); }
 
 } // namespace Ebonystack
--- a/src/transport/EntryService.h
+++ b/src/transport/EntryService.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace Ebonystack {
 
@@ -37,6 +38,9 @@
     /// Recomputes the admitted share of each demand class. Called a few times a second.
     void updateAdmittedShares(Instant now);
 
+    /// The VMs whose nodes have requests without a response, also those without a link or a record.
+    std::set<VmId> awaitedVms() const;
+
     /// The number of calls without a response.
     std::size_t openCount() const;
 
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -26,6 +26,7 @@
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 
 namespace Ebonystack {
 namespace {
@@ -215,9 +216,12 @@
     void refreshPeers(Instant now)
     {
         m_peersRefreshedAt = now;
-        std::vector<VmId> vms = m_state.directory.vms();
-        std::erase(vms, m_localOrigin.vm);
-        m_links.setPeers(vms);
+        // A lost link is opened again also without a record: the node may have responses for this one.
+        std::set<VmId> vms = m_entry.awaitedVms();
+        const std::vector<VmId> recorded = m_state.directory.vms();
+        vms.insert(recorded.begin(), recorded.end());
+        vms.erase(m_localOrigin.vm);
+        m_links.setPeers({ vms.begin(), vms.end() });
         m_hop.refreshUpstream(now);
         m_feed.refreshPeers();
         m_state.upstreamNotices.removeUnknown(m_state.directory);
--- a/test/property/LostLinksDeliverResponses.cpp
+++ b/test/property/LostLinksDeliverResponses.cpp
@@ -24,6 +24,10 @@
         for (int i = 0; i < requestCount; ++i)
             fleet.sendRequest(0, "order", 8s);
         fleet.advance(before);
+        if (*rc::gen::arbitrary<bool>()) {
+            fleet.lapseRecord(1, 20s);
+            fleet.lapseRecord(2, 20s);
+        }
         fleet.loseLink(0, 1, loss, cut);
         fleet.loseLink(0, 2, loss, cut);
         std::vector<std::string> ran;
--- a/test/support/ModelledFleet.h
+++ b/test/support/ModelledFleet.h
@@ -445,7 +445,8 @@
         Link& link = m_links[from][to];
         if (link.isUp)
             return;
-        if (!m_nodes[to] || !m_hasRecord[to])
+        const bool isPeer = m_hasRecord[to] || m_nodes[from]->entry.awaitedVms().contains(vmId(to));
+        if (!m_nodes[to] || !isPeer)
             return openLater(from, to);
         const std::uint64_t generation = ++link.generation;
         const HopOrigin origin = m_nodes[from]->origin;
