A stream's callbacks don't keep alive what owns the stream

Seen by callers: nothing. Address sanitizer, 5 of 57 tests: "LeakSanitizer: detected memory leaks", for example LostProcessesAreNotResumed with 892 bytes in 8 allocations: ByteStream, OutgoingLink, PeerLinks::Internals. Cause: startCurrentStream gave the callbacks a strong reference to the holder, and the holder has the stream, which has the callbacks. Links and store readers that end with an open stream stayed.

The same cycle kept a link alive that had been taken out of the table while the hello of the peer was awaited: its record lapsed just then. When the peer responded the link came up, though nothing could be sent on it, and stayed open until the peer found it silent.

Callbacks now refer weakly to the holder, as those of startStream do, and a link that leaves the table closes its stream.

LinksEndWithTheirPeers before: "CHECK( 1 == 0 )" for linksUp, and the stream isn't closed.

--- a/src/transport/ByteStream.h
+++ b/src/transport/ByteStream.h
@@ -99,20 +99,23 @@
         [call, onEnd](StreamEnd how) { call(onEnd, how); });
 }
 
-/// Starts `holder->stream`, whose callbacks run only while `owner` exists and `holder->stream` is still the
-/// same stream: `onBytes` and `onEnd` are called on the owner, with the holder and the stream's argument.
+/// Starts `holder->stream`, whose callbacks run only while both `owner` and `holder` exist and
+/// `holder->stream` is still the same stream: `onBytes` and `onEnd` are called on the owner, with the holder
+/// and the stream's argument.
 template <typename Owner, typename Holder, typename Bytes, typename End>
 void startCurrentStream(
     std::weak_ptr<Owner> owner, const std::shared_ptr<Holder>& holder, Bytes onBytes, End onEnd)
 {
     const std::weak_ptr<ByteStream> stream = holder->stream;
-    const auto call = [owner = std::move(owner), holder, stream](auto&& method, auto argument) {
-        const auto self = owner.lock();
-        if (self && holder->stream == stream.lock())
-            std::invoke(method, *self, holder, argument);
+    const auto whileCurrent = [stream](auto&& method) {
+        return [stream, method](Owner& self, const std::shared_ptr<Holder>& current, auto argument) {
+            if (current->stream == stream.lock())
+                std::invoke(method, self, current, argument);
+        };
     };
-    holder->stream->start([call, onBytes](std::string_view bytes) { call(onBytes, bytes); },
-        [call, onEnd](StreamEnd how) { call(onEnd, how); });
+    // A callback that held the holder would be a cycle: the holder has the stream.
+    startStream(*holder->stream, std::move(owner), std::weak_ptr<Holder>(holder), whileCurrent(onBytes),
+        whileCurrent(onEnd));
 }
 
 /// Connects to `address` ("ip:port"). Calls `done` at most once, with null if the connection failed or was
--- a/src/transport/PeerLinks.cpp
+++ b/src/transport/PeerLinks.cpp
@@ -257,8 +257,11 @@
                 sendHeartbeat(link, now);
             if (!link->stream && !link->connecting && link->requested && now >= link->retryAt)
                 open(link);
-            if (!link->requested && !link->up && !link->connecting)
+            if (!link->requested && !link->up && !link->connecting) {
+                if (link->stream)
+                    link->stream->close();
                 outgoing.erase(vm);
+            }
         }
     }
 
--- a/test/support/LinksFixture.h
+++ b/test/support/LinksFixture.h
@@ -12,7 +12,7 @@
 public:
     LinkHeartbeat localHeartbeat() const override { return {}; }
     void onHeartbeat(const VmId&, const LinkHeartbeat&) override { ++heartbeats; }
-    void onLinkUp(const VmId&, std::uint64_t) override { }
+    void onLinkUp(const VmId&, std::uint64_t) override { ++linksUp; }
     void onLinkDown(const VmId&) override { }
     void onResponse(const VmId&, HopResponse) override { }
     void onStoreChanges(const StoreChangesResponse&) override { }
@@ -26,6 +26,7 @@
     TokenResponse grantTokens(const TokenRequest&) override { return {}; }
 
     int heartbeats { 0 };
+    int linksUp { 0 };
     int lostOrigins { 0 };
 };
 
