Test model: requests in transit outlive the node's process without touching it

Undefined-behaviour sanitizer, property OrdersRunAtMostOnce: "ModelledUpstream.h:61:17: runtime error: member access within address 0x60b0000049e0 which does not point to an object of type 'Pool'". A request that was in transit when the modelled process ended read the upstream through the pool of that process, which was gone. It refers to the upstream itself now. The property says the same as before.

--- a/test/support/ModelledUpstream.h
+++ b/test/support/ModelledUpstream.h
@@ -54,12 +54,13 @@
             connection->exchange = exchange;
             connection->request = std::move(request);
             connection->done = std::move(done);
-            m_upstream.m_clock.after(transitTime, [this, weak = weak_from_this(), connection, exchange] {
-                if (const auto alive = weak.lock();
-                    alive && m_upstream.m_isDown && connection->exchange == exchange)
-                    return finish(connection, { UpstreamResult::Kind::NotConnected }, false);
-                m_upstream.receive(connection, exchange);
-            });
+            m_upstream.m_clock.after(
+                transitTime, [&to = m_upstream, weak = weak_from_this(), connection, exchange] {
+                    if (const auto alive = weak.lock();
+                        alive && to.m_isDown && connection->exchange == exchange)
+                        return alive->finish(connection, { UpstreamResult::Kind::NotConnected }, false);
+                    to.receive(connection, exchange);
+                });
             return exchange;
         }
 
