Soak: slow readers around stops, unframed responses that crashes cut off, long bodies

- some callers read a response of 200 to 900 kB steadily over 3 s, or halt for 2.9 to 3.6 s after a fifth, while nodes get SIGTERM or the configuration changes;
- upstreams begin a response without a length while requests of 0.25 to 6 MiB are being sent; some are reset in the middle, some crash;
- with `--only long-bodies`, requests of 16 to 48 MiB come among the others.

New checks: AnswerCheck (a node ends no connection before the response to a request that runs; a response that the upstream has sent in full arrives, also for slow readers; the process doesn't end before they have it), content that names its length and checksum, and the peak memory of each node's process. Kinds of traffic have random numbers of their own, so that a seed of the mix has the same faults as before.

The fakes and callers have connections of their own (PacedConnection): they pause reading, and reset.

--- a/test/soak/FakeStore.cpp
+++ b/test/soak/FakeStore.cpp
@@ -33,8 +33,8 @@
     , m_lapseTimer(io)
 {
     for (std::uint64_t vm = 0; vm < addresses.size(); ++vm) {
-        m_servers.push_back(std::make_unique<FakeHttpServer>(m_io, addresses[vm],
-            [this, vm](const HttpRequest& request, FakeHttpServer::ResponseCallback respond) {
+        m_servers.push_back(std::make_unique<FakeHttpServer>(
+            m_io, addresses[vm], [this, vm](const HttpRequest& request, Respond respond) {
                 handle(vm, request, std::move(respond));
             }));
     }
@@ -168,7 +168,7 @@
         m_servers[vm]->closeConnections();
 }
 
-void FakeStore::handle(std::uint64_t vm, const HttpRequest& request, FakeHttpServer::ResponseCallback respond)
+void FakeStore::handle(std::uint64_t vm, const HttpRequest& request, Respond respond)
 {
     switch (troubleOf(vm)) {
     case StoreTrouble::None:
--- a/test/soak/FakeStore.h
+++ b/test/soak/FakeStore.h
@@ -30,6 +30,8 @@
 /// Items with revisions. It listens at one address for each VM, so that it can turn away single VMs.
 class FakeStore {
 public:
+    using Respond = std::function<void(const std::string& bytes)>;
+
     FakeStore(boost::asio::io_context&, const std::vector<std::string>& addresses, HeartbeatEvents);
 
     /// Written by the operator, whom no trouble hinders.
@@ -70,12 +72,12 @@
         std::uint64_t vm;
         std::uint64_t number;
         std::uint64_t after;
-        FakeHttpServer::ResponseCallback respond;
+        Respond respond;
     };
 
     StoreTrouble troubleOf(std::uint64_t vm) const;
     void beginTrouble(std::uint64_t vm);
-    void handle(std::uint64_t vm, const HttpRequest&, FakeHttpServer::ResponseCallback);
+    void handle(std::uint64_t vm, const HttpRequest&, Respond);
     std::string listing() const;
     std::string changesAfter(std::uint64_t) const;
     void notifyWatches();
--- a/test/soak/FakeUpstream.cpp
+++ b/test/soak/FakeUpstream.cpp
@@ -1,6 +1,8 @@
 // The fake upstreams of the soak.
 #include "FakeUpstream.h"
 
+#include "SoakContent.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
@@ -31,11 +33,16 @@
     , m_vm(vm)
     , m_address(std::move(address))
     , m_random(seed)
+    , m_earlyRandom(~seed)
     , m_server(surroundings.io, m_address,
           [this](const HttpRequest& request, FakeHttpServer::ResponseCallback respond) {
               handle(request, std::move(respond));
           })
 {
+    m_server.setEarlyHandler(
+        [this](const HttpRequest& request, std::size_t bytesLeft, const auto& connection) {
+            return beginEarly(request, bytesLeft, connection);
+        });
     m_server.setRepeatsLate([this] { return m_isRejecting && m_random.below(2) == 0; });
 }
 
@@ -69,11 +76,27 @@
     m_runs = false;
     m_news.reset();
     m_surroundings.drainCheck.onEnded(m_vm);
+    m_surroundings.answerCheck.onBrokenOff(m_vm);
     m_server.stopListening();
     m_server.closeConnections();
     m_surroundings.log.add("upstream " + std::to_string(m_vm) + " has ended");
 }
 
+void FakeUpstream::crash(Clock::duration pause)
+{
+    if (!m_runs || m_news)
+        return;
+    m_server.resetConnections();
+    endAtOnce();
+    after(pause, &FakeUpstream::start);
+}
+
+void FakeUpstream::closeConnections()
+{
+    m_surroundings.answerCheck.onBrokenOff(m_vm);
+    m_server.closeConnections();
+}
+
 void FakeUpstream::leave(LeavingNews news, Clock::duration extra, Clock::duration pause)
 {
     if (!m_runs || m_news)
@@ -154,8 +177,45 @@
 {
     constexpr std::uint64_t requestsPerLostConnection = 200;
     const std::string id = field(request, "Ebonystack-Attempt-Id");
-    if (const std::string expected = field(request, "Ebonystack-Expect-Instance"); expected != m_instance)
-        return respond(fakeResponse(421, "", "Ebonystack-Attempt-Id: " + id + "\r\n"));
+    if (!isForThisRun(request)) {
+        respond(fakeResponse(421, "", "Ebonystack-Attempt-Id: " + id + "\r\n"));
+        return;
+    }
+    checkFields(request, id);
+    if (!request.body.empty() && !isWholeContent(request.body, id))
+        m_surroundings.observations.violations.push_back("the body of request " + id + " was changed");
+    if (m_isRejecting && m_random.below(3) == 0) {
+        respond(fakeResponse(503, "", "Ebonystack-Attempt-Id: " + id + "\r\nEbonystack-Not-Executed: 1\r\n"));
+        return;
+    }
+    beginRun(id);
+    const bool lost = m_random.below(requestsPerLostConnection) == 0;
+    const bool isSlow = request.head.target.starts_with(slowPath);
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_surroundings.io,
+        std::chrono::milliseconds(isSlow ? 500 + m_random.below(1000) : 3 + m_random.below(40)));
+    timer->async_wait(
+        [this, timer, respond = std::move(respond), id, lost, run = m_run, period = m_nodePeriod,
+            body = bodyFor(request, id)](const boost::system::error_code&) {
+            if (run != m_run)
+                return;
+            const bool heardByNode = !m_nodeIsDisturbed && period == m_nodePeriod;
+            const std::string response = lost
+                ? ""
+                : fakeResponse(200, body,
+                    "Ebonystack-Attempt-Id: " + id + "\r\nEbonystack-Server-Seal: s\r\n"
+                        + noticeFields(heardByNode));
+            if (respond(response) && !lost)
+                m_surroundings.answerCheck.onAnswered(id);
+        });
+}
+
+bool FakeUpstream::isForThisRun(const HttpRequest& request) const
+{
+    return field(request, "Ebonystack-Expect-Instance") == m_instance;
+}
+
+void FakeUpstream::checkFields(const HttpRequest& request, const std::string& id)
+{
     m_surroundings.drainCheck.onArrival(m_vm, id);
     std::vector<std::string>& violations = m_surroundings.observations.violations;
     if (request.head.fields.find("Authorization"))
@@ -163,25 +223,66 @@
     if (field(request, "Ebonystack-Tenant") != "team"
         || field(request, "Ebonystack-Caller-Service") != "registry")
         violations.push_back("wrong team or calling service at the upstream with request " + id);
-    if (m_isRejecting && m_random.below(3) == 0)
-        return respond(
-            fakeResponse(503, "", "Ebonystack-Attempt-Id: " + id + "\r\nEbonystack-Not-Executed: 1\r\n"));
+}
+
+void FakeUpstream::beginRun(const std::string& id)
+{
     ++m_surroundings.observations.executions[id];
+    m_surroundings.answerCheck.onRun(id, m_vm);
     checkArrival(id);
-    const bool lost = m_random.below(requestsPerLostConnection) == 0;
-    const bool isSlow = request.head.target.starts_with(slowPath);
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_surroundings.io,
-        std::chrono::milliseconds(isSlow ? 500 + m_random.below(1000) : 3 + m_random.below(40)));
-    timer->async_wait([this, timer, respond = std::move(respond), id, lost, run = m_run,
-                          period = m_nodePeriod](const boost::system::error_code&) {
+}
+
+std::string FakeUpstream::bodyFor(const HttpRequest& request, const std::string& id) const
+{
+    if (!request.head.target.starts_with(bulkPath))
+        return "ok:" + id;
+    return makeContent(id, std::stoull(request.head.target.substr(std::string_view(bulkPath).size())));
+}
+
+bool FakeUpstream::beginEarly(
+    const HttpRequest& request, std::size_t bytesLeft, const std::shared_ptr<PacedConnection>& connection)
+{
+    constexpr std::uint64_t requestsPerCutOff = 6;
+    if (!request.head.target.starts_with(unframedPath) || !isForThisRun(request))
+        return false;
+    const std::string id = field(request, "Ebonystack-Attempt-Id");
+    checkFields(request, id);
+    beginRun(id);
+    const std::string content = makeContent(id, 1000 + m_earlyRandom.below(30000));
+    const std::size_t half = content.size() / 2;
+    connection->pauseReading();
+    connection->write("HTTP/1.1 200 X\r\nEbonystack-Attempt-Id: " + id
+        + "\r\nEbonystack-Server-Seal: s\r\nConnection: close\r\n\r\n" + content.substr(0, half));
+    const bool isCutOff = m_earlyRandom.below(requestsPerCutOff) == 0;
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        m_surroundings.io, std::chrono::milliseconds(50 + m_earlyRandom.below(400)));
+    timer->async_wait([this, timer, id, bytesLeft, rest = content.substr(half), connection, isCutOff,
+                          run = m_run](const boost::system::error_code&) {
         if (run != m_run)
             return;
-        const bool heardByNode = !m_nodeIsDisturbed && period == m_nodePeriod;
-        respond(lost ? ""
-                     : fakeResponse(200, "ok:" + id,
-                         "Ebonystack-Attempt-Id: " + id + "\r\nEbonystack-Server-Seal: s\r\n"
-                             + noticeFields(heardByNode)));
+        if (isCutOff)
+            m_server.reset(connection);
+        else
+            endEarly(id, bytesLeft, rest, connection);
+    });
+    return true;
+}
+
+/// Reads the request, then ends the response in an orderly way.
+void FakeUpstream::endEarly(const std::string& id, std::size_t bytesLeft, const std::string& rest,
+    const std::shared_ptr<PacedConnection>& connection)
+{
+    auto left = std::make_shared<std::size_t>(bytesLeft);
+    connection->setOnBytes([this, id, left, rest, weak = std::weak_ptr(connection)](std::string_view bytes) {
+        *left -= std::min(*left, bytes.size());
+        const auto open = weak.lock();
+        if (*left > 0 || !open)
+            return;
+        open->write(rest);
+        m_surroundings.answerCheck.onAnswered(id);
+        open->closeAfterWriting();
     });
+    connection->resumeReading();
 }
 
 void FakeUpstream::nameLimit(double requestsPerSecond)
--- a/test/soak/FakeUpstream.h
+++ b/test/soak/FakeUpstream.h
@@ -1,6 +1,7 @@
 // A fake upstream of the soak. It keeps its entry in the store and records what it executed.
 #pragma once
 
+#include "AnswerCheck.h"
 #include "DrainCheck.h"
 #include "FakeHttpServer.h"
 #include "FakeStore.h"
@@ -27,12 +28,19 @@
     boost::asio::io_context& io;
     FakeStore& store;
     DrainCheck& drainCheck;
+    AnswerCheck& answerCheck;
     UpstreamObservations& observations;
     RunLog& log;
 };
 
 /// Requests on this path take the upstream about a second.
 constexpr auto slowPath = "/s/";
+/// The response has as many bytes as the path's next part says, and a little more.
+constexpr auto bulkPath = "/b/";
+/// The response begins before the request has been read, has no length, and may be cut off.
+constexpr auto unframedPath = "/u/";
+/// Requests with long bodies.
+constexpr auto longPath = "/l/";
 
 /// How an upstream tells the store that it leaves.
 enum class LeavingNews {
@@ -49,6 +57,8 @@
     void start();
     /// Loses power; its entry stays until it lapses.
     void endAtOnce();
+    /// Resets its connections and starts again after `pause`; its entry stays until it lapses.
+    void crash(Clock::duration pause);
     /// Tells the store that it is leaving, as soon as the store accepts that. Then it serves for the drain
     /// time and `extra`, ends, and starts again after `pause`.
     void leave(LeavingNews, Clock::duration extra, Clock::duration pause);
@@ -57,7 +67,7 @@
     void removeEntry();
     std::string entryKey() const { return "servers/" + m_instance; }
 
-    void closeConnections() { m_server.closeConnections(); }
+    void closeConnections();
     /// While set, rejects one request in three without running it, and repeats one response in two late.
     void setRejecting(bool isRejecting) { m_isRejecting = isRejecting; }
     /// Names a limit in all responses from now on, in requests per second; 0 names none.
@@ -70,6 +80,14 @@
 
 private:
     void handle(const HttpRequest&, FakeHttpServer::ResponseCallback);
+    bool beginEarly(const HttpRequest&, std::size_t bytesLeft, const std::shared_ptr<PacedConnection>&);
+    void endEarly(const std::string& id, std::size_t bytesLeft, const std::string& rest,
+        const std::shared_ptr<PacedConnection>&);
+    bool isForThisRun(const HttpRequest&) const;
+    /// The request has passed the checks that need no run.
+    void beginRun(const std::string& id);
+    void checkFields(const HttpRequest&, const std::string& id);
+    std::string bodyFor(const HttpRequest&, const std::string& id) const;
     void checkArrival(const std::string& id);
     /// The fields of a response in which the upstream speaks of itself.
     std::string noticeFields(bool heardByNode);
@@ -105,6 +123,7 @@
     std::optional<Clock::time_point> m_leavingNamedAt; // the first response that the node can't have missed
     std::deque<Clock::time_point> m_limitedArrivals; // within the last limitWindow
     RandomSource m_random;
+    RandomSource m_earlyRandom; // its own, so that seeds keep their other faults
     FakeHttpServer m_server;
 };
 
--- a/test/soak/SoakFaults.cpp
+++ b/test/soak/SoakFaults.cpp
@@ -1,6 +1,8 @@
 // The random faults of a soak.
 #include "SoakFaults.h"
 
+#include "SoakTraffic.h"
+
 #include "state/Check.h"
 
 #include <algorithm>
@@ -39,7 +41,8 @@
 void SoakFaults::begin()
 {
     superviseNodes();
-    scheduleFault();
+    if (!m_kinds.empty())
+        scheduleFault();
     if (!m_isOnlyKind)
         scheduleLeaving();
 }
@@ -90,7 +93,7 @@
     }
     if (m_isCalm && only.empty())
         chosen.insert(chosen.end(), chosen.size() + 1, &SoakFaults::turnAwayVm);
-    userCheck(!chosen.empty(), "There is no kind of fault '" + only + "'.");
+    userCheck(!chosen.empty() || SoakTraffic::isKind(only), "There is no kind of fault '" + only + "'.");
     return chosen;
 }
 
@@ -182,8 +185,10 @@
     if (m_isStopped)
         return;
     for (std::uint64_t vm = 0; vm < m_site.vms(); ++vm) {
+        m_site.checkMemory(vm);
         if (m_startsSoon[vm] || !m_site.hasEnded(vm) || Clock::now() < m_lostUntil[vm])
             continue;
+        m_site.answerCheck().onNodeEnded(vm);
         if (!m_site.drainCheck().vm(vm).has(Disturbance::Down))
             m_site.observations().violations.push_back("node " + std::to_string(vm) + " ended by itself");
         m_startsSoon[vm] = true;
--- a/test/soak/SoakSite.h
+++ b/test/soak/SoakSite.h
@@ -29,6 +29,7 @@
     FakeStore& store() { return m_store; }
     FakeUpstream& upstream(std::uint64_t vm) { return *m_upstreams[vm]; }
     DrainCheck& drainCheck() { return m_drainCheck; }
+    AnswerCheck& answerCheck() { return m_answerCheck; }
     UpstreamObservations& observations() { return m_observations; }
     RunLog& log() { return m_log; }
     int nodeStarts() const { return m_nodeStarts; }
@@ -43,6 +44,8 @@
     void signalNode(std::uint64_t vm, int number);
     bool hasEnded(std::uint64_t vm) { return m_nodes[vm]->exitCode().has_value(); }
     void startNode(std::uint64_t vm);
+    /// Adds a violation if the node's process has used more memory than it may.
+    void checkMemory(std::uint64_t vm);
 
 private:
     std::string address(std::uint64_t vm, int port) const;
@@ -52,9 +55,11 @@
     RunLog m_log;
     UpstreamObservations m_observations;
     DrainCheck m_drainCheck;
+    AnswerCheck m_answerCheck;
     FakeStore m_store;
     std::vector<std::unique_ptr<FakeUpstream>> m_upstreams;
     std::vector<std::unique_ptr<ChildProcess>> m_nodes;
+    std::vector<bool> m_usedTooMuch; // by VM; memory, by its node's process
     unsigned m_version { 0 };
     int m_nodeStarts { 0 };
 };
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -1,9 +1,9 @@
 // A soak of real sidecar processes on loopback under random faults that a seed determines. The processes are
 // killed, paused, stopped, restarted and told to reload, also in series; VMs are lost until their record has
 // lapsed; the store goes down, comes back from an old copy, leaves watches unanswered, turns single VMs away
-// and changes its configuration; upstreams leave, close connections, reject requests and repeat responses
-// late. Faults follow each other or overlap. Callers keep their connections until the process is gone. The
-// run fails unless all of this holds:
+// and changes its configuration; upstreams leave, crash, close connections, reject requests and repeat
+// responses late. Some callers read slowly. Faults follow each other or overlap. Callers keep their
+// connections until the process is gone. The run fails unless all of this holds:
 // - a success has the sealed and complete response of an upstream that ran the request
 // - a non-idempotent request runs at most once, and not at all when its refusal says so
 // - a valid request is not refused with 401 or 404
@@ -14,10 +14,16 @@
 // - no request reaches an upstream later than the drain time after the store has acknowledged that it leaves,
 //   unless the store, the node beside it or the request's entry node was disturbed in the last 3 s
 // - no success comes on a connection with no request waiting, and no node ends by itself
+// - a node ends no connection before the response to a request that runs, and callers get what the
+//   upstream has sent, also those who read slowly, unless there was an unplanned disturbance or the grace
+//   time is over
+// - no node uses more memory than it may
 // - reads are served again after the faults, on a route that the newest configuration has added
 #include "SoakCallers.h"
+#include "SoakContent.h"
 #include "SoakFaults.h"
 #include "SoakSite.h"
+#include "SoakTraffic.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
@@ -32,7 +38,9 @@
 DEFINE_uint64(seconds, 8, "Seconds of faults for each seed.");
 DEFINE_uint64(network, 0, "Third number of the loopback addresses, so that several soaks can run at once.");
 DEFINE_string(sidecar, "build/ebony-sidecar", "The program.");
-DEFINE_string(only, "", "The only kind of fault, at longer intervals; empty: all kinds. See SoakFaults.cpp.");
+DEFINE_string(only, "",
+    "The only kind of fault or traffic, at longer intervals; empty: the mix of all but long-bodies. See "
+    "SoakFaults.cpp and SoakTraffic.cpp.");
 DEFINE_string(logs, "build/soak", "Where the logs of failed seeds are kept.");
 
 namespace {
@@ -56,6 +64,7 @@
 struct SentRequest {
     bool nonIdempotent { false };
     bool checked { false }; // sent within checkedTime
+    bool hasContent { false }; // its response does
     int status { 0 }; // 0: no response
 };
 
@@ -73,8 +82,10 @@
         , m_folder(makeFolder())
         , m_site(m_io, { seed, FLAGS_nodes, FLAGS_network, FLAGS_sidecar, m_folder, heartbeatEventsOf(seed) })
         , m_faults(m_io, m_site, seed, FLAGS_only)
+        , m_traffic(m_io, m_site, seed, FLAGS_only,
+              [this](std::uint64_t vm, CallerRequest request) { sendSpecial(vm, std::move(request)); })
         , m_callers(
-              m_io, seed,
+              m_io, seed, m_site.answerCheck(),
               [this](const std::string& id, const HttpResponse& response) { onResponse(id, response); },
               [this](std::string_view bytes) { onStray(bytes); })
     {
@@ -89,8 +100,10 @@
         runFor(startupTime);
         sendRequests();
         m_faults.begin();
+        m_traffic.begin();
         runFor(std::chrono::seconds(FLAGS_seconds));
         m_faults.end();
+        m_traffic.end();
         runFor(recoveryTime - checkedTime);
         m_checking = true;
         runFor(checkedTime);
@@ -151,9 +164,26 @@
             : m_checking                ? m_site.newestPath()
                                         : "/r/";
         const std::string id = std::to_string(m_seed) + "-" + std::to_string(m_sent.size());
-        m_sent[id] = { nonIdempotent, m_checking, 0 };
-        m_site.drainCheck().onTaken(id, vm);
-        m_callers.send({ m_site.callerAddress(vm), id, path, isSlow ? slowOrderDeadline : callerDeadline });
+        m_sent[id] = { .nonIdempotent = nonIdempotent, .checked = m_checking };
+        take(vm, { m_site.callerAddress(vm), id, path, isSlow ? slowOrderDeadline : callerDeadline },
+            m_owesAll);
+    }
+
+    /// A request of m_traffic.
+    void sendSpecial(std::uint64_t vm, CallerRequest request)
+    {
+        request.address = m_site.callerAddress(vm);
+        request.id = std::to_string(m_seed) + "-x" + std::to_string(m_sent.size());
+        m_sent[request.id] = { .nonIdempotent = true, .hasContent = request.path != longPath };
+        take(vm, request, true);
+    }
+
+    void take(std::uint64_t vm, const CallerRequest& request, bool isOwed)
+    {
+        m_site.drainCheck().onTaken(request.id, vm);
+        m_site.answerCheck().onSent(
+            request.id, vm, request.deadline, isOwed, request.reading != Reading::AtOnce);
+        m_callers.send(request);
     }
 
     void onResponse(const std::string& id, const HttpResponse& response)
@@ -161,8 +191,11 @@
         m_sent[id].status = response.head.status;
         if (response.head.status != 200)
             return;
-        if (!response.head.fields.find("Ebonystack-Server-Seal") || response.body != "ok:" + id)
-            violations().push_back("response without a seal or with a wrong body to " + id);
+        const bool isWhole
+            = m_sent[id].hasContent ? isWholeContent(response.body, id) : response.body == "ok:" + id;
+        if (!response.head.fields.find("Ebonystack-Server-Seal") || !isWhole)
+            violations().push_back("response without a seal or with a wrong body to " + id + ", "
+                + std::to_string(response.body.size()) + " bytes");
         if (!m_site.observations().executions.contains(id))
             violations().push_back("success without an execution at an upstream for " + id);
     }
@@ -197,6 +230,8 @@
                 "after the faults only " + std::to_string(m_servedShare) + " of reads are served");
         const auto& late = m_site.drainCheck().violations();
         violations().insert(violations().end(), late.begin(), late.end());
+        const auto unanswered = m_site.answerCheck().violations();
+        violations().insert(violations().end(), unanswered.begin(), unanswered.end());
     }
 
     void report()
@@ -204,12 +239,13 @@
         const DrainCheck& drain = m_site.drainCheck();
         std::printf("seed %llu: %zu requests on %llu connections, %zu run, served after the faults %.3f, "
                     "%d starts, %d of %d leavings bind, latest excused arrival after leaving %.2f s, "
-                    "longest lag %.3f s: %s\n",
+                    "%d responses owed, %d excused, longest lag %.3f s: %s\n",
             static_cast<unsigned long long>(m_seed), m_sent.size(),
             static_cast<unsigned long long>(m_callers.connectionCount()),
             m_site.observations().executions.size(), m_servedShare, m_site.nodeStarts(),
             drain.bindingLeavings(), drain.leavings(), drain.latestExcusedArrival().count(),
-            m_longestLag.count(), violations().empty() ? "held" : "BROKEN");
+            m_site.answerCheck().owedCount(), m_site.answerCheck().excusedCount(), m_longestLag.count(),
+            violations().empty() ? "held" : "BROKEN");
         for (const std::string& violation : violations())
             std::printf("    %s\n", violation.c_str());
         std::fflush(stdout);
@@ -227,8 +263,10 @@
     boost::asio::io_context m_io { 1 };
     SoakSite m_site;
     SoakFaults m_faults;
+    SoakTraffic m_traffic;
     SoakCallers m_callers;
     std::map<std::string, SentRequest> m_sent;
+    const bool m_owesAll { FLAGS_only == "long-bodies" }; // nothing else is disturbed
     bool m_sending { true };
     bool m_checking { false };
     double m_servedShare { 0 };
--- a/tools/process/ChildProcess.h
+++ b/tools/process/ChildProcess.h
@@ -22,6 +22,8 @@
 
     /// Sends a signal; does nothing once the process has ended and `exitCode` has returned its status.
     void signal(int number);
+    /// -1 once `exitCode` has returned the status.
+    pid_t pid() const { return m_pid; }
     /// Returns the exit code, or the negated signal number when a signal ended the process; nothing while
     /// it runs.
     std::optional<int> exitCode();
