--- a/test/correctness/RemovedRecordsAreNotTakenForLapsed.cpp
+++ b/test/correctness/RemovedRecordsAreNotTakenForLapsed.cpp
@@ -136,6 +136,25 @@
     CHECK(upstream.directory.find(instance) == nullptr);
 }
 
+// The rules excuse its node until it has reached the store for 3 s.
+TEST_CASE("an upstream that leaves while the store rejects its VM is dropped within 3 s of the VM's return")
+{
+    StoreContactTracker tracker;
+    tracker.onResponse(start);
+    for (Instant now = start + 100ms; now < start + 10s; now += 400ms)
+        tracker.onFailure(StoreCallFailure::Rejected, now - 5ms, now);
+    PublishedUpstream upstream;
+    upstream.reportAt(start + 5s, upstream.lost);
+    CHECK(upstream.isInUse(start + 5s, start + 5s));
+    tracker.onResponse(start + 10s);
+    upstream.reportAt(start + 10s, tracker.contact());
+    upstream.directory.expire(upstream.reachability, start + 12s);
+    CHECK(upstream.directory.find(instance));
+    upstream.reportAt(start + 12900ms, tracker.contact());
+    upstream.directory.expire(upstream.reachability, start + 12900ms);
+    CHECK(upstream.directory.find(instance) == nullptr);
+}
+
 TEST_CASE(
     "a silent store that was away for the whole fleet leaves no service without upstreams when it is back")
 {
