Soak: settings files written once, and the reasons of a lag printed

Cause: with each start of a node the soak shortened the node's settings file and wrote it anew. The file system gives the blocks back and discards them at once, and waits for the disk.

Why the change works: the settings are the same with each start, so they are written once, before the run.

The longest lag is printed with how much of it the soak ran and waited for a processor; in the rest it was blocked. No check changes.

--- a/test/soak/SoakSite.cpp
+++ b/test/soak/SoakSite.cpp
@@ -51,6 +51,7 @@
             UpstreamSurroundings { io, m_store, m_drainCheck, m_answerCheck, m_observations, m_log }, vm,
             address(vm, upstreamPort), m_settings.seed + vm));
         m_upstreams[vm]->start();
+        writeSettings(vm);
         startNode(vm);
     }
 }
@@ -100,19 +101,27 @@
             .dump());
 }
 
-void SoakSite::startNode(std::uint64_t vm)
+std::filesystem::path SoakSite::settingsFile(std::uint64_t vm) const
+{
+    return m_settings.folder / ("node-" + std::to_string(vm) + ".json");
+}
+
+void SoakSite::writeSettings(std::uint64_t vm)
 {
-    const auto settings = m_settings.folder / ("node-" + std::to_string(vm) + ".json");
-    std::ofstream(settings) << nlohmann::json { { "vm", vmAddress(m_settings.network, vm) },
+    std::ofstream(settingsFile(vm)) << nlohmann::json { { "vm", vmAddress(m_settings.network, vm) },
         { "dataCentre", "a" }, { "service", "registry" }, { "upstreamAddress", address(vm, upstreamPort) },
         { "callerAddress", address(vm, callerPort) }, { "readinessAddress", address(vm, readyPort) },
         { "storeAddress", address(vm, storePort) }, { "peerPort", peerPort },
         { "memoryMegabytes", memoryMegabytes }, { "grace", std::to_string(graceTime.count()) + "ms" },
         { "drain", std::to_string(drainTime.count()) + "ms" } };
+}
+
+void SoakSite::startNode(std::uint64_t vm)
+{
     const auto log
         = m_settings.folder / ("node-" + std::to_string(vm) + "-" + std::to_string(++m_nodeStarts) + ".log");
     m_nodes[vm] = std::make_unique<ChildProcess>(
-        std::vector<std::string> { m_settings.sidecar, "--config", settings.string() }, log.string());
+        std::vector<std::string> { m_settings.sidecar, "--config", settingsFile(vm).string() }, log.string());
     m_log.add("node " + std::to_string(vm) + " starts");
     Disturbances& disturbances = m_drainCheck.vm(vm);
     disturbances.end(Disturbance::Down, Clock::now());
--- a/test/soak/SoakSite.h
+++ b/test/soak/SoakSite.h
@@ -50,6 +50,9 @@
 private:
     std::string address(std::uint64_t vm, int port) const;
     std::vector<std::string> storeAddresses() const;
+    std::filesystem::path settingsFile(std::uint64_t vm) const;
+    /// Once: to shorten a file can hold up the soak's loop for seconds where the disk discards its blocks.
+    void writeSettings(std::uint64_t vm);
 
     const SoakSiteSettings m_settings;
     RunLog m_log;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -19,6 +19,7 @@
 //   time is over
 // - no node uses more memory than it may
 // - reads are served again after the faults, on a route that the newest configuration has added
+#include "LoopLag.h"
 #include "SoakCallers.h"
 #include "SoakContent.h"
 #include "SoakFaults.h"
@@ -141,7 +142,7 @@
     void watchLag(Clock::time_point due)
     {
         m_site.drainCheck().onTurn();
-        m_longestLag = std::max<std::chrono::duration<double>>(m_longestLag, Clock::now() - due);
+        m_loopLag.onTurn(due);
         after(lagPeriod, [this, next = Clock::now() + lagPeriod] { watchLag(next); });
     }
 
@@ -239,13 +240,13 @@
         const DrainCheck& drain = m_site.drainCheck();
         std::printf("seed %llu: %zu requests on %llu connections, %zu run, served after the faults %.3f, "
                     "%d starts, %d of %d leavings bind, latest excused arrival after leaving %.2f s, "
-                    "%d responses owed, %d excused, longest lag %.3f s: %s\n",
+                    "%d responses owed, %d excused, %s: %s\n",
             static_cast<unsigned long long>(m_seed), m_sent.size(),
             static_cast<unsigned long long>(m_callers.connectionCount()),
             m_site.observations().executions.size(), m_servedShare, m_site.nodeStarts(),
             drain.bindingLeavings(), drain.leavings(), drain.latestExcusedArrival().count(),
-            m_site.answerCheck().owedCount(), m_site.answerCheck().excusedCount(), m_longestLag.count(),
-            violations().empty() ? "held" : "BROKEN");
+            m_site.answerCheck().owedCount(), m_site.answerCheck().excusedCount(),
+            m_loopLag.description().c_str(), violations().empty() ? "held" : "BROKEN");
         for (const std::string& violation : violations())
             std::printf("    %s\n", violation.c_str());
         std::fflush(stdout);
@@ -270,7 +271,7 @@
     bool m_sending { true };
     bool m_checking { false };
     double m_servedShare { 0 };
-    std::chrono::duration<double> m_longestLag { 0 };
+    LoopLag m_loopLag;
 };
 
 } // namespace
