--- /dev/null
+++ b/src/coordination/LongRequestQueue.h
@@ -0,0 +1,51 @@
+// Long requests of callers that wait until there is memory for them: the most worthy first, among those of
+// equal worth the shortest, then the earliest.
+#pragma once
+
+#include "state/Time.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace Ebonystack {
+
+struct LongRequest {
+    std::uint64_t id { 0 };
+    int worth { 0 };
+    std::size_t bytes { 0 };
+    Instant until; ///< then it is refused
+
+    auto operator<=>(const LongRequest&) const = default;
+};
+
+/// Not thread-safe.
+class LongRequestQueue {
+public:
+    /// Adds a request. Returns the id of the one that has to be refused for it, which may be its own; 0:
+    /// none.
+    std::uint64_t add(const LongRequest&);
+    void remove(std::uint64_t id);
+    /// Removes and returns the requests that `admits` accepts, asked for one after the other.
+    std::vector<std::uint64_t> admit(const std::function<bool(const LongRequest&)>& admits);
+    /// Removes and returns the requests whose time has passed.
+    std::vector<std::uint64_t> expire(Instant now);
+    bool empty() const { return m_requests.empty(); }
+
+private:
+    struct Order {
+        int negatedWorth;
+        std::size_t bytes;
+        std::uint64_t arrival;
+
+        auto operator<=>(const Order&) const = default;
+    };
+
+    std::map<Order, LongRequest> m_requests;
+    std::uint64_t m_arrivals { 0 };
+};
+
+} // namespace Ebonystack
--- a/src/coordination/MemoryBudget.h
+++ b/src/coordination/MemoryBudget.h
@@ -1,5 +1,4 @@
-// A bound on the bytes of incomplete messages that a node holds for all its connections of one kind. Without
-// it, a few peers that send bytes without end would use up the memory of the process.
+// Counts the bytes that a node holds for messages, or for one kind of them, against a limit.
 #pragma once
 
 #include <cstddef>
@@ -17,8 +16,9 @@
     MemoryBudget(const MemoryBudget&) = delete;
     MemoryBudget& operator=(const MemoryBudget&) = delete;
 
+    std::size_t limit() const { return m_limit; }
     std::size_t heldBytes() const { return *m_held; }
-    /// Whether the holders together hold more than the limit. The owner then ends its largest holder.
+    /// Whether the holders together hold more than the limit.
     bool isExceeded() const { return *m_held > m_limit; }
 
     /// The bytes of one holder, returned to the budget with the object, which may outlive the budget.
--- a/src/protocol/PeerFrame.cpp
+++ b/src/protocol/PeerFrame.cpp
@@ -2,6 +2,8 @@
 // frame's type in PeerFrame.
 #include "protocol/PeerFrame.h"
 
+#include "state/Check.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -55,7 +57,7 @@
     return static_cast<Enum>(number);
 }
 
-Json encodeBytes(const std::string& text) { return Json::binary({ text.begin(), text.end() }); }
+Json encodeBytes(std::string_view text) { return Json::binary({ text.begin(), text.end() }); }
 
 std::string decodeBytes(const Json& json)
 {
@@ -197,7 +199,7 @@
 {
     return Json::array({ frame.number, frame.route.text, frame.remainingTime.count(),
         frame.maxGateWait.count(), frame.rank, frame.idempotent, frame.isRedispatch, frame.instance.text,
-        frame.method, encodeBytes(frame.target), encodeFields(frame.fields), encodeBytes(frame.body),
+        frame.method, encodeBytes(frame.target), encodeFields(frame.fields), encodeBytes(frame.body.view()),
         frame.repeatShare, encodeOptional(frame.knownRequestLimit), frame.treeValue });
 }
 
@@ -222,8 +224,9 @@
 Json encode(const HopResponse& frame)
 {
     return Json::array({ frame.number, frame.outcome, frame.reason, frame.reachedUpstream, frame.status,
-        encodeFields(frame.fields), encodeBytes(frame.body), encodeLoad(frame.load), encodeCosts(frame.costs),
-        frame.gateWait.count(), encodeCosts(frame.arrivals), frame.hasRefusedCall });
+        encodeFields(frame.fields), encodeBytes(frame.body.view()), encodeLoad(frame.load),
+        encodeCosts(frame.costs), frame.gateWait.count(), encodeCosts(frame.arrivals),
+        frame.hasRefusedCall });
 }
 
 Json encode(const HopCancel& frame) { return Json::array({ frame.number }); }
@@ -409,42 +412,37 @@
     decodeTokenResponse, decodeStoreChangesPush };
 static_assert(decoders.size() == std::variant_size_v<PeerFrame>);
 
-std::size_t decodeLength(std::string_view bytes)
+/// Positions of the types with a body in PeerFrame, and of the body in their messages.
+constexpr std::size_t requestIndex = 2;
+constexpr std::size_t responseIndex = 3;
+constexpr std::array<std::size_t, 4> bodyIndices { 0, 0, 11, 6 };
+static_assert(std::is_same_v<std::variant_alternative_t<requestIndex, PeerFrame>, HopRequest>);
+static_assert(std::is_same_v<std::variant_alternative_t<responseIndex, PeerFrame>, HopResponse>);
+
+template <typename Frame> auto* findBody(Frame& frame)
 {
-    std::size_t length = 0;
-    for (std::size_t i = 0; i < lengthPrefixBytes; ++i)
-        length = length << 8 | static_cast<unsigned char>(bytes[i]);
-    return length;
+    if (auto* request = std::get_if<HopRequest>(&frame))
+        return &request->body;
+    auto* response = std::get_if<HopResponse>(&frame);
+    return response ? &response->body : nullptr;
 }
 
-} // namespace
-
-std::string encodeFrame(const PeerFrame& frame)
+void appendContent(std::string& bytes, const PeerFrame& frame)
 {
     Json json = std::visit([](const auto& each) { return encode(each); }, frame);
-    std::string bytes(lengthPrefixBytes, '\0');
     Json::to_cbor(
         Json::array({ frame.index(), std::move(json) }), nlohmann::detail::output_adapter<char>(bytes));
-    std::size_t length = bytes.size() - lengthPrefixBytes;
+}
+
+void writeLength(std::string& bytes, std::size_t length)
+{
     for (std::size_t i = lengthPrefixBytes; i-- > 0; length >>= 8)
         bytes[i] = static_cast<char>(length & 0xff);
-    return bytes;
 }
 
-tl::expected<std::optional<PeerFrame>, std::string> decodeFrame(
-    std::string_view bytes, std::size_t& consumed, std::size_t maxBytes)
+tl::expected<PeerFrame, std::string> decodeContent(std::string_view content)
 {
-    if (bytes.size() < lengthPrefixBytes)
-        return std::nullopt;
-    const std::size_t length = decodeLength(bytes);
-    if (length > maxBytes)
-        return tl::make_unexpected("a frame of " + std::to_string(length) + " bytes exceeds the limit of "
-            + std::to_string(maxBytes));
-    if (bytes.size() < lengthPrefixBytes + length)
-        return std::nullopt;
-    consumed = lengthPrefixBytes + length;
     try {
-        const std::string_view content = bytes.substr(lengthPrefixBytes, length);
         Json json;
         FrameBuilder builder(json);
         if (!Json::sax_parse(content.begin(), content.end(), &builder, Json::input_format_t::cbor))
@@ -458,6 +456,91 @@
     }
 }
 
+std::size_t decodeLength(std::string_view bytes)
+{
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < lengthPrefixBytes; ++i)
+        length = length << 8 | static_cast<unsigned char>(bytes[i]);
+    return length;
+}
+
+} // namespace
+
+std::string encodeFrame(const PeerFrame& frame)
+{
+    std::string bytes(lengthPrefixBytes, '\0');
+    appendContent(bytes, frame);
+    writeLength(bytes, bytes.size() - lengthPrefixBytes);
+    return bytes;
+}
+
+EncodedFrame encodeFrameParts(const PeerFrame& frame)
+{
+    const Body* body = bodyOf(frame);
+    if (!body || !body->isLong())
+        return { encodeFrame(frame), {}, {} };
+    PeerFrame rest = frame;
+    *findBody(rest) = {};
+    std::string bytes(lengthPrefixBytes, '\0');
+    appendContent(bytes, rest);
+    const auto place
+        = findFrameBody(std::string_view(bytes).substr(lengthPrefixBytes), bodyIndices.at(frame.index()));
+    internalCheck(place.has_value(), "an encoded request or response has its body at a fixed place");
+    EncodedFrame parts { bytes.substr(0, lengthPrefixBytes + place->headBegin)
+            + encodeByteStringHead(body->size()),
+        *body, bytes.substr(lengthPrefixBytes + place->begin) };
+    writeLength(parts.before, parts.size() - lengthPrefixBytes);
+    return parts;
+}
+
+std::optional<std::size_t> frameLength(std::string_view bytes)
+{
+    return bytes.size() < lengthPrefixBytes ? std::nullopt
+                                            : std::optional(lengthPrefixBytes + decodeLength(bytes));
+}
+
+std::optional<FrameStart> frameStart(std::string_view bytes)
+{
+    return bytes.size() < lengthPrefixBytes ? std::nullopt : readFrameStart(bytes.substr(lengthPrefixBytes));
+}
+
+const Body* bodyOf(const PeerFrame& frame) { return findBody(frame); }
+
+bool isHopRequest(const FrameStart& start) { return start.type == requestIndex; }
+bool isHopResponse(const FrameStart& start) { return start.type == responseIndex; }
+
+tl::expected<std::optional<PeerFrame>, std::string> decodeFrame(
+    std::string_view bytes, std::size_t& consumed, std::size_t maxBytes)
+{
+    const auto length = frameLength(bytes);
+    if (!length)
+        return std::nullopt;
+    if (*length - lengthPrefixBytes > maxBytes)
+        return tl::make_unexpected("a frame of " + std::to_string(*length - lengthPrefixBytes)
+            + " bytes exceeds the limit of " + std::to_string(maxBytes));
+    if (bytes.size() < *length)
+        return std::nullopt;
+    consumed = *length;
+    return decodeContent(bytes.substr(lengthPrefixBytes, *length - lengthPrefixBytes));
+}
+
+tl::expected<PeerFrame, std::string> decodeWholeFrame(std::string bytes)
+{
+    const std::string_view content = std::string_view(bytes).substr(lengthPrefixBytes);
+    const auto start = readFrameStart(content);
+    const bool hasBody = start && (isHopRequest(*start) || isHopResponse(*start));
+    const auto place = hasBody ? findFrameBody(content, bodyIndices.at(start->type)) : std::nullopt;
+    if (!place || place->length < minLongBodyBytes)
+        return decodeContent(content);
+    std::string rest(content.substr(0, place->headBegin));
+    rest += encodeByteStringHead(0);
+    rest += content.substr(place->begin + place->length);
+    auto frame = decodeContent(rest);
+    if (frame)
+        *findBody(*frame) = Body::partOf(std::move(bytes), lengthPrefixBytes + place->begin, place->length);
+    return frame;
+}
+
 std::string_view describe(HopReason reason)
 {
     constexpr auto names = std::to_array<std::string_view>({ "none", "gate full", "upstream shed",
--- a/src/protocol/PeerFrame.h
+++ b/src/protocol/PeerFrame.h
@@ -3,6 +3,8 @@
 // network byte order followed by CBOR.
 #pragma once
 
+#include "protocol/Body.h"
+#include "protocol/FrameBody.h"
 #include "protocol/HttpMessage.h"
 #include "state/CostVector.h"
 #include "state/StoreContact.h"
@@ -70,7 +72,7 @@
     std::string method;
     std::string target;
     HttpFields fields;
-    std::string body;
+    Body body;
 
     auto operator<=>(const HopRequest&) const = default;
 };
@@ -106,7 +108,7 @@
     bool reachedUpstream { false }; ///< the request was sent to the upstream, even if then rejected
     std::uint16_t status { 0 };
     HttpFields fields;
-    std::string body;
+    Body body;
     UpstreamLoad load;
     CostVector costs; ///< costs of the request's route
     Duration gateWait { 0 }; ///< time from arrival at the gate to the start or the rejection
@@ -181,15 +183,42 @@
 using PeerFrame = std::variant<LinkHello, LinkHeartbeat, HopRequest, HopResponse, HopCancel, HopResume,
     StoreChangesRequest, StoreChangesResponse, TokenRequest, TokenResponse, StoreChangesPush>;
 
+/// A frame with its length prefix, in the order in which its parts are sent.
+struct EncodedFrame {
+    std::string before;
+    Body body; ///< the long body of a request or response, else empty
+    std::string after;
+
+    std::size_t size() const { return before.size() + body.size() + after.size(); }
+    auto operator<=>(const EncodedFrame&) const = default;
+};
+
+EncodedFrame encodeFrameParts(const PeerFrame&);
+
 /// Returns the encoded frame, including the length prefix.
 std::string encodeFrame(const PeerFrame&);
 
+/// Returns the length of the frame at the beginning of `bytes`, including the length prefix; nothing if the
+/// prefix is incomplete.
+std::optional<std::size_t> frameLength(std::string_view bytes);
+
+/// Of the frame at the beginning of `bytes`, which may be incomplete.
+std::optional<FrameStart> frameStart(std::string_view bytes);
+/// Null for frames without a body.
+const Body* bodyOf(const PeerFrame&);
+
+bool isHopRequest(const FrameStart&);
+bool isHopResponse(const FrameStart&);
+
 /// Decodes the frame at the beginning of `bytes`. Returns nothing if the frame is incomplete, else sets
 /// `consumed` to its length in bytes, including the length prefix. The error says what is malformed; a frame
 /// that is longer than `maxBytes` is.
 tl::expected<std::optional<PeerFrame>, std::string> decodeFrame(
     std::string_view bytes, std::size_t& consumed, std::size_t maxBytes = maxFrameBytes);
 
+/// Decodes a complete frame. A long body refers to `bytes` and keeps them.
+tl::expected<PeerFrame, std::string> decodeWholeFrame(std::string bytes);
+
 std::string_view describe(HopReason);
 
 } // namespace Ebonystack
--- a/src/transport/ByteStream.cpp
+++ b/src/transport/ByteStream.cpp
@@ -30,9 +30,6 @@
 constexpr int keepAliveProbeCount = 2;
 /// Shared by all streams: the event loop has one thread, and callbacks copy the bytes that they keep.
 std::array<char, 65536> sharedReadBuffer;
-/// A larger output buffer is freed once it is written: most messages are smaller, and a node has many
-/// streams.
-constexpr std::size_t maxRetainedOutputBytes = 64 << 10;
 
 void setOption(int socket, int level, int name, int value)
 {
@@ -98,6 +95,20 @@
         return;
     m_output.append(bytes);
     m_written += bytes.size();
+    flushSoon();
+}
+
+void ByteStream::writeBody(const Body& body)
+{
+    if (!isOpen() || m_hasFailed)
+        return;
+    m_output.append(body);
+    m_written += body.size();
+    flushSoon();
+}
+
+void ByteStream::flushSoon()
+{
     if (m_flushPosted || m_awaitsWritable)
         return;
     m_flushPosted = true;
@@ -112,6 +123,7 @@
     m_closesAfterWriting = true;
     m_onBytes = nullptr;
     m_onEnd = nullptr;
+    resumeReading();
     if (unsent() == 0)
         shutdownSend();
     closeWhenAcknowledged(monotonicNow() + limit);
@@ -145,10 +157,20 @@
     return true;
 }
 
+void ByteStream::resumeReading()
+{
+    if (std::exchange(m_isReadingPaused, false) && isOpen())
+        awaitReadable();
+}
+
 void ByteStream::awaitReadable()
 {
+    if (m_isReadingPaused || m_awaitsReadable)
+        return;
+    m_awaitsReadable = true;
     m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode& error) {
-        if (!error && self->isOpen())
+        self->m_awaitsReadable = false;
+        if (!error && self->isOpen() && !self->m_isReadingPaused)
             self->onReadable();
     });
 }
@@ -172,28 +194,30 @@
 {
     if (!isOpen() || unsent() == 0)
         return;
-    ErrorCode error;
-    const std::size_t count = m_socket.write_some(Asio::buffer(m_output.data() + m_sent, unsent()), error);
-    if (error && error != Asio::error::would_block && error != Asio::error::try_again) {
-        // Bytes that the peer sent before the error are still to be read, so the read side reports the end.
-        m_hasFailed = true;
-        m_output.clear();
-        m_sent = 0;
-        if (m_closesAfterWriting)
-            close();
-        return;
+    while (unsent() > 0) {
+        const std::string_view front = m_output.front();
+        ErrorCode error;
+        const std::size_t count = m_socket.write_some(Asio::buffer(front), error);
+        if (error && error != Asio::error::would_block && error != Asio::error::try_again)
+            return onWriteFailed();
+        if (!error)
+            m_output.removeFront(count);
+        if (error || count < front.size())
+            return awaitWritable();
     }
-    m_sent += error ? 0 : count;
-    if (unsent() > 0)
-        return awaitWritable();
-    m_output.clear();
-    if (m_output.capacity() > maxRetainedOutputBytes)
-        m_output.shrink_to_fit();
-    m_sent = 0;
     if (m_closesAfterWriting)
         shutdownSend();
 }
 
+/// Bytes that the peer sent before the error are still to be read, so the read side reports the end.
+void ByteStream::onWriteFailed()
+{
+    m_hasFailed = true;
+    m_output.clear();
+    if (m_closesAfterWriting)
+        close();
+}
+
 void ByteStream::awaitWritable()
 {
     m_awaitsWritable = true;
--- a/src/transport/ByteStream.h
+++ b/src/transport/ByteStream.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "state/Time.h"
+#include "transport/OutputQueue.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -40,8 +41,13 @@
     /// Starts reading. `onEnd` is called at most once, when the peer closes the connection or it breaks.
     void start(OnBytes onBytes, OnEnd onEnd);
     void write(std::string_view bytes);
+    /// A long body is kept by reference until it is written.
+    void writeBody(const Body&);
+    /// While reading is paused, the peer's bytes and its end wait in the system.
+    void pauseReading() { m_isReadingPaused = true; }
+    void resumeReading();
     /// Number of bytes that were not passed to the socket yet.
-    std::size_t unsent() const { return m_output.size() - m_sent; }
+    std::size_t unsent() const { return m_output.size(); }
     /// The number of bytes passed to `write` so far: the position of the end of the last message.
     std::uint64_t written() const { return m_written; }
     /// Whether the peer's system has acknowledged the bytes before a position. Makes a system call.
@@ -63,7 +69,9 @@
 private:
     void awaitReadable();
     void onReadable();
+    void flushSoon();
     void flush();
+    void onWriteFailed();
     void awaitWritable();
     void end(StreamEnd);
     void shutdownSend();
@@ -72,9 +80,10 @@
     boost::asio::ip::tcp::socket m_socket;
     OnBytes m_onBytes;
     OnEnd m_onEnd;
-    std::string m_output;
+    OutputQueue m_output;
     std::uint64_t m_written { 0 };
-    std::size_t m_sent { 0 }; // bytes of m_output that are written to the socket
+    bool m_isReadingPaused { false };
+    bool m_awaitsReadable { false };
     bool m_flushPosted { false };
     bool m_awaitsWritable { false };
     bool m_closesAfterWriting { false };
--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -2,9 +2,8 @@
 // memory and time.
 #include "transport/CallerServer.h"
 
-#include "coordination/MemoryBudget.h"
-#include "transport/ByteStream.h"
 #include "transport/CallerDeadline.h"
+#include "transport/CallerRequestMemory.h"
 #include "transport/SystemClock.h"
 
 #include <algorithm>
@@ -33,48 +32,24 @@
 constexpr Duration closeLimitMargin = 1s;
 /// Share of the process's file descriptors; the rest is for the upstream, links and listeners.
 constexpr double callerDescriptorShare = 0.6;
-/// Share of the process's memory. At most three copies of a request exist: here, on the link to the
-/// upstream's node, and on that node.
-constexpr double requestMemoryShare = 0.2;
-/// Share of the process's memory for responses that callers have not read. Above it the caller with the
-/// longest is disconnected.
-constexpr double unreadMemoryShare = 0.2;
+/// Part of the memory for messages that responses which callers have not read may have. Above it the caller
+/// with the longest is disconnected.
+constexpr std::size_t unreadPartDivisor = 3;
+/// How often long requests that wait for memory ask for it.
+constexpr Duration memoryRetryPeriod = 20ms;
 
 } // namespace
 
 class CallerServer::Internals : public std::enable_shared_from_this<Internals> {
 public:
-    struct Connection {
-        explicit Connection(MemoryBudget& budget)
-            : unread(budget)
-        {
-        }
-
-        std::shared_ptr<ByteStream> stream;
-        std::string input;
-        std::optional<RequestParser> parser; // set while a request is being read
-        bool serving { false }; // the entry service has a request of this connection
-        std::optional<CallId> call; // set while serving, after EntryService::begin has returned
-        bool keepAlive { true }; // of the current request
-        bool isHeadRequest { false };
-        bool sentContinue { false };
-        Instant phaseStartedAt; // start of the current phase: idle, reading or writing
-        Instant lastReceivedAt;
-        std::size_t requestBytes { 0 }; // of requests without a response yet
-        std::uint64_t responseEnd { 0 }; // position in the stream of the end of the last response
-        bool awaitsAcknowledgement { false }; // of the last response, as far as known
-        MemoryBudget::Reservation
-            unread; // bytes of responses that the caller does not have, as of the last tick
-        Instant callerDeadline; // of the last request
-        Instant respondedAt;
-        bool isSlowReader { false }; // of the last response
-    };
-    using ConnectionPtr = std::shared_ptr<Connection>;
+    using Connection = CallerConnection;
+    using ConnectionPtr = CallerConnectionPtr;
 
     Internals(SidecarState& shared, EntryService& service)
         : state(shared)
         , entry(service)
-        , unreadBudget(memoryShare(unreadMemoryShare))
+        , requestMemory(shared)
+        , unreadBudget(SidecarState::messageMemory(shared.settings) / unreadPartDivisor)
     {
     }
 
@@ -102,14 +77,6 @@
         return static_cast<std::size_t>(state.settings.descriptors * callerDescriptorShare);
     }
 
-    /// Limit on the bytes of all requests of callers that have no response yet.
-    std::size_t maxRequestBytes() const { return memoryShare(requestMemoryShare); }
-
-    std::size_t memoryShare(double share) const
-    {
-        return static_cast<std::size_t>(state.settings.memoryMegabytes * share * (1 << 20));
-    }
-
     static bool isIdle(const Connection& connection)
     {
         return !connection.serving && !connection.parser && !isBeingRead(connection);
@@ -139,10 +106,9 @@
     {
         connection->input.append(bytes);
         connection->lastReceivedAt = monotonicNow();
-        connection->requestBytes += bytes.size();
-        requestBytes += bytes.size();
+        requestMemory.addReceived(*connection, bytes.size());
         if (connection->serving) {
-            if (connection->input.size() > maxPipelinedBytes || requestBytes > maxRequestBytes())
+            if (connection->input.size() > maxPipelinedBytes || requestMemory.isShortPartFull())
                 drop(connection);
             return;
         }
@@ -161,22 +127,61 @@
         }
         const std::size_t used = connection->parser->feed(connection->input);
         connection->input.erase(0, used);
-        if (!connection->parser->done() && requestBytes > maxRequestBytes())
-            return refuse(connection,
-                notRunRefusal(
-                    ResultCode::QueueFull, "the memory reserved for requests of callers is used up"));
         if (connection->parser->refusal())
             return refuse(connection, *connection->parser->refusal());
         if (connection->parser->done())
             return serve(connection);
-        if (connection->parser->expectsContinue() && !std::exchange(connection->sentContinue, true))
-            connection->stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+        switch (requestMemory.check(connection, monotonicNow())) {
+        case CallerRequestMemory::Verdict::Read:
+            return sendContinue(*connection);
+        case CallerRequestMemory::Verdict::Wait:
+            return retryWaitingLater();
+        case CallerRequestMemory::Verdict::Refuse:
+            return refuseForMemory(connection);
+        }
+    }
+
+    static void sendContinue(Connection& connection)
+    {
+        if (connection.parser->expectsContinue() && !std::exchange(connection.sentContinue, true))
+            connection.stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+
+    void refuseForMemory(const ConnectionPtr& connection)
+    {
+        state.memory.recordRefusal(MemoryUse::CallerRequest);
+        refuse(connection, notRunRefusal(ResultCode::QueueFull, "the memory for requests is used up"));
+    }
+
+    void retryWaitingLater()
+    {
+        if (std::exchange(retriesWaiting, true))
+            return;
+        state.timers.at(monotonicNow() + memoryRetryPeriod, [weak = weak_from_this()](Instant now) {
+            if (const auto self = weak.lock())
+                self->retryWaiting(now);
+        });
+    }
+
+    void retryWaiting(Instant now)
+    {
+        retriesWaiting = false;
+        for (const ConnectionPtr& connection : requestMemory.expireWaiting(now))
+            refuseForMemory(connection);
+        for (const ConnectionPtr& connection : requestMemory.admitWaiting()) {
+            connection->lastReceivedAt = now;
+            sendContinue(*connection);
+            connection->stream->resumeReading();
+        }
+        if (requestMemory.hasWaiting())
+            retryWaitingLater();
     }
 
     void serve(const ConnectionPtr& connection)
     {
         HttpRequest request = connection->parser->take();
         connection->parser.reset();
+        requestMemory.passOn(*connection, request.body, connection->input.size());
         connection->serving = true;
         connection->keepAlive = request.head.keepAlive;
         connection->isHeadRequest = request.head.method == "HEAD";
@@ -200,9 +205,9 @@
         connection->serving = false;
         connection->call.reset();
         connection->phaseStartedAt = monotonicNow();
-        releaseRequestBytes(connection, connection->input.size());
+        requestMemory.release(*connection, connection->input.size());
         response.head.keepAlive = connection->keepAlive && !state.isLeaving();
-        write(connection, writeResponse(response.head, response.body, connection->isHeadRequest));
+        write(connection, response, connection->isHeadRequest);
         if (!response.head.keepAlive)
             return closeAfterWriting(connection);
         if (connection->input.empty())
@@ -218,22 +223,25 @@
     void refuse(const ConnectionPtr& connection, const Refusal& refusal)
     {
         const ResultCodeInfo& info = describe(refusal.code);
-        ResponseHead head;
-        head.status = info.httpStatus;
-        head.keepAlive = false;
-        head.fields.add("Ebony-Result", std::to_string(static_cast<int>(refusal.code)));
+        HttpResponse response;
+        response.head.status = info.httpStatus;
+        response.head.keepAlive = false;
+        response.head.fields.add("Ebony-Result", std::to_string(static_cast<int>(refusal.code)));
         ++state.counters.refusals[std::string(info.name)];
         state.log.failure("request not accepted", "", monotonicNow(), [&] {
             return nlohmann::json { { "code", static_cast<int>(refusal.code) }, { "name", info.name },
                 { "explanation", refusal.explanation } };
         });
-        write(connection, writeResponse(head, {}, false));
+        write(connection, response, false);
         closeAfterWriting(connection);
     }
 
-    void write(const ConnectionPtr& connection, const std::string& response)
+    void write(const ConnectionPtr& connection, const HttpResponse& response, bool isHeadRequest)
     {
-        connection->stream->write(response);
+        const ResponseHead& head = response.head;
+        connection->stream->write(writeResponseHead(head, response.body.size(), isHeadRequest));
+        if (sendsBody(head, isHeadRequest))
+            connection->stream->writeBody(response.body);
         connection->responseEnd = connection->stream->written();
         connection->awaitsAcknowledgement = true;
         connection->respondedAt = monotonicNow();
@@ -309,16 +317,9 @@
 
     void onEnd(const ConnectionPtr& connection, StreamEnd) { drop(connection); }
 
-    /// Reduces the connection's count of request bytes to `kept`.
-    void releaseRequestBytes(const ConnectionPtr& connection, std::size_t kept)
-    {
-        requestBytes -= connection->requestBytes - kept;
-        connection->requestBytes = kept;
-    }
-
     void closeAfterWriting(const ConnectionPtr& connection)
     {
-        releaseRequestBytes(connection, 0);
+        requestMemory.release(*connection, 0);
         connections.erase(connection);
         closing.push_back(connection);
         connection->stream->closeAfterWriting(readBy(*connection) - monotonicNow() + closeLimitMargin);
@@ -326,7 +327,7 @@
 
     void drop(const ConnectionPtr& connection)
     {
-        releaseRequestBytes(connection, 0);
+        requestMemory.release(*connection, 0);
         connections.erase(connection);
         connection->unread.resize(0);
         connection->awaitsAcknowledgement = false;
@@ -341,7 +342,8 @@
     std::set<ConnectionPtr> connections;
     // Connections that close after their last response is read. The process must not end before that.
     std::vector<ConnectionPtr> closing;
-    std::size_t requestBytes { 0 }; // the sum over all connections
+    CallerRequestMemory requestMemory;
+    bool retriesWaiting { false }; // scheduled
     MemoryBudget unreadBudget; // of responses that callers do not have
     bool endsLongestUnread { false }; // scheduled
 };
@@ -373,6 +375,7 @@
         m_internals->checkReading(connection, now);
         if (connection->serving || !m_internals->connections.contains(connection))
             continue;
+        m_internals->requestMemory.checkStalled(*connection, now);
         const bool reading = connection->parser.has_value();
         const bool writing = connection->awaitsAcknowledgement;
         const Duration age = now - connection->phaseStartedAt;
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -716,6 +716,14 @@
         transport.sendResume(vm, { hopNumbers, process });
     }
 
+    void onResponseDiscarded(const VmId& vm, std::uint64_t number)
+    {
+        const auto found = callsByHop.find(number);
+        const CallPtr call = found == callsByHop.end() ? nullptr : find(found->second);
+        if (call)
+            abandonHop(call, vm, "there was no memory for the response");
+    }
+
     void abandonHop(const CallPtr& call, const VmId& vm, std::string_view reason)
     {
         callsByHop.erase(call->hopNumber);
@@ -792,6 +800,11 @@
     m_internals->onResponse(vm, std::move(response));
 }
 
+void EntryService::onResponseDiscarded(const VmId& vm, std::uint64_t number)
+{
+    m_internals->onResponseDiscarded(vm, number);
+}
+
 void EntryService::onLinkUp(const VmId& vm, std::uint64_t process) { m_internals->onLinkUp(vm, process); }
 
 void EntryService::onLinkDown(const VmId& vm) { m_internals->onLinkDown(vm); }
--- a/src/transport/EntryService.h
+++ b/src/transport/EntryService.h
@@ -29,6 +29,8 @@
 
     /// Takes the response of a VM's node to a hop request.
     void onResponse(const VmId&, HopResponse);
+    /// A node's response to a request was not received.
+    void onResponseDiscarded(const VmId&, std::uint64_t number);
     /// `process`: the incarnation of the node process that the link leads to. Requests that were sent to an
     /// earlier one may have run there.
     void onLinkUp(const VmId&, std::uint64_t process);
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -3,6 +3,7 @@
 
 #include "coordination/DroppedRecords.h"
 #include "coordination/LocalUpstream.h"
+#include "coordination/RetainedResponses.h"
 #include "coordination/RetryMonitor.h"
 #include "coordination/SlotGate.h"
 #include "coordination/ValueRationing.h"
@@ -36,6 +37,8 @@
 /// How long responses to non-idempotent requests are kept: one may have been lost with a failing link.
 /// Longer, until the deadline, if the link has failed and is not up again.
 constexpr Duration responseRetention = 5s;
+/// Share of the memory for messages that these responses may have.
+constexpr double retainedMemoryShare = 0.25;
 /// How long after its deadline the record of a non-idempotent request is kept. Later its outcome is unknown.
 constexpr Duration outcomeRetention = 60s;
 constexpr Duration serviceObservationPeriod = 250ms;
@@ -68,6 +71,7 @@
         std::string id; // request id set by the caller, for logs
         bool ended { false };
         std::optional<HopResponse> response; // of an ended non-idempotent job, see responseRetention
+        std::uint64_t retention { 0 }; // id among the retained responses, while it has one
         bool mayBeUndelivered { false }; // the response: the link was lost, and the request not resumed since
     };
     using JobPtr = std::shared_ptr<Job>;
@@ -77,6 +81,7 @@
         : state(sharedState)
         , upstream(transport)
         , reply(std::move(deliver))
+        , retained(static_cast<std::size_t>(static_cast<double>(state.memory.limit()) * retainedMemoryShare))
     {
     }
 
@@ -253,8 +258,11 @@
         head.fields.add(names().deadline, std::to_string(toMilliseconds(job->deadline - now)));
         if (!request.instance.empty())
             head.fields.add(names().expectedInstance, request.instance.text);
-        job->exchange = upstream.send(
-            { writeRequest(head, request.body), job->id, request.method == "HEAD", request.idempotent },
+        Body body = request.body;
+        if (!request.idempotent)
+            job->request.body = {}; // never sent again
+        job->exchange = upstream.send({ writeRequestHead(head, body.size()), body, job->id,
+                                          request.method == "HEAD", request.idempotent },
             [weak = weak_from_this(), job](UpstreamResult result) {
                 if (const auto self = weak.lock())
                     self->onResult(job, std::move(result));
@@ -411,6 +419,22 @@
         return head.fields.find(names().seal) && !head.fields.find("Content-Encoding");
     }
 
+    void refuse(const HopOrigin& origin, std::uint64_t number)
+    {
+        const Instant now = state.now();
+        HopResponse response;
+        response.number = number;
+        response.outcome = HopOutcome::NotRun;
+        response.reason = HopReason::GateFull; // nodes of the version before know no reason for memory
+        response.load = load(now);
+        ++state.counters.hopOutcomes["no memory"];
+        state.log.failure("no memory for a request", "", now, [&] {
+            return nlohmann::json { { "entry", origin.vm.text },
+                { "heldBytes", state.memory.budget().heldBytes() }, { "limit", state.memory.limit() } };
+        });
+        reply(origin, std::move(response));
+    }
+
     void finishNotRun(const JobPtr& job, HopReason reason)
     {
         HopResponse response;
@@ -461,17 +485,11 @@
     /// Keeps the outcome of a non-idempotent request for an entry node that does not receive the response.
     void retainOutcome(const JobPtr& job, const HopResponse& response)
     {
-        job->response = response;
+        retainResponse(job, response);
         HopRequest kept;
         kept.number = job->request.number;
         job->request = std::move(kept);
         const Instant now = state.now();
-        state.timers.at(now + responseRetention, [weak = weak_from_this(), job](Instant) {
-            const auto self = weak.lock();
-            if (!self || !job->mayBeUndelivered)
-                return job->response.reset();
-            self->state.timers.at(job->deadline, [job](Instant) { job->response.reset(); });
-        });
         state.timers.at(
             std::max(now, job->deadline) + outcomeRetention, [weak = weak_from_this(), job](Instant) {
                 if (const auto self = weak.lock())
@@ -479,6 +497,55 @@
             });
     }
 
+    void retainResponse(const JobPtr& job, const HopResponse& response)
+    {
+        if (!response.body.empty() && !response.body.isCounted()) {
+            auto memory = std::make_shared<MemoryBudget::Reservation>(state.memory.budget());
+            memory->resize(response.body.size());
+            response.body.count(std::move(memory));
+        }
+        job->response = response;
+        job->retention = ++lastRetention;
+        retainedJobs[job->retention] = job;
+        dropResponses(retained.add(job->retention, response.body.size()));
+        state.timers.at(state.now() + responseRetention, [weak = weak_from_this(), job](Instant) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            if (!job->mayBeUndelivered)
+                return self->releaseResponse(job->retention);
+            self->state.timers.at(job->deadline, [weak, id = job->retention](Instant) {
+                if (const auto service = weak.lock())
+                    service->releaseResponse(id);
+            });
+        });
+    }
+
+    void releaseResponse(std::uint64_t retention)
+    {
+        retained.remove(retention);
+        dropResponses({ retention });
+    }
+
+    /// Afterwards the outcomes of the requests are unknown to an entry node that asks.
+    void dropResponses(const std::vector<std::uint64_t>& retentions)
+    {
+        for (const std::uint64_t id : retentions) {
+            const auto found = retainedJobs.find(id);
+            if (found == retainedJobs.end())
+                continue;
+            found->second->response.reset();
+            retainedJobs.erase(found);
+        }
+    }
+
+    void reclaimMemory(std::size_t bytes)
+    {
+        const auto dropped = retained.reclaim(bytes);
+        state.counters.retainedResponsesDropped += dropped.size();
+        dropResponses(dropped);
+    }
+
     void dropRecord(const Job& job)
     {
         jobs.erase({ job.origin, job.request.number });
@@ -612,6 +679,9 @@
     RetryMonitor retryMonitor;
     std::map<JobKey, JobPtr> jobs; // those that wait or run, and ended non-idempotent ones that are retained
     DroppedRecords droppedRecords;
+    RetainedResponses retained;
+    std::unordered_map<std::uint64_t, JobPtr> retainedJobs; // by Job::retention, those with a response
+    std::uint64_t lastRetention { 0 };
     std::size_t openJobs { 0 }; // jobs that wait or run
     std::unordered_map<GateTicket, JobPtr> waiting; // jobs at the gate
     std::map<HopOrigin, Instant>
@@ -626,6 +696,10 @@
 HopService::HopService(SidecarState& state, UpstreamTransport& upstream, Reply reply)
     : m_internals(std::make_shared<Internals>(state, upstream, std::move(reply)))
 {
+    state.memory.setReclaim([weak = std::weak_ptr(m_internals)](std::size_t bytes) {
+        if (const auto internals = weak.lock())
+            internals->reclaimMemory(bytes);
+    });
 }
 
 HopService::~HopService() = default;
@@ -635,6 +709,11 @@
     m_internals->request(origin, std::move(request));
 }
 
+void HopService::refuse(const HopOrigin& origin, std::uint64_t number)
+{
+    m_internals->refuse(origin, number);
+}
+
 void HopService::cancel(const HopOrigin& origin, std::uint64_t number)
 {
     if (const auto job = m_internals->find(origin, number))
--- a/src/transport/HopService.h
+++ b/src/transport/HopService.h
@@ -25,6 +25,8 @@
 
     /// Takes a request, which gets one response unless it is cancelled.
     void request(const HopOrigin&, HopRequest);
+    /// Answers a request that was not received: it has not run.
+    void refuse(const HopOrigin&, std::uint64_t number);
     void cancel(const HopOrigin&, std::uint64_t number);
     /// Called when a lost link is up again: cancels the origin's requests that are not in `numbers`, and
     /// sends the response or the outcome of those in `numbers` that have ended or are unknown. Unknown ones
--- a/src/transport/HttpCodec.cpp
+++ b/src/transport/HttpCodec.cpp
@@ -2,9 +2,9 @@
 #include "transport/HttpCodec.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 namespace Ebonystack {
 namespace {
@@ -15,6 +15,59 @@
 /// A head, chunk header or trailer is used only when it is complete, so the bytes that a parser has not used
 /// are the part of one that has arrived. Longer ones are not accepted.
 constexpr std::size_t maxUnusedBytes = 64 << 10;
+/// A longer body whose length is not known gets address space for the longest at once: it takes memory only
+/// for what arrives, and is not copied as it grows.
+constexpr std::size_t maxGrowingBodyBytes = 1 << 20;
+constexpr std::size_t longestBodyBytes = std::size_t { 64 } << 20;
+
+/// The body that the parsers fill, for the HTTP library.
+struct ReceivedBody {
+    using value_type = std::string;
+
+    class reader { // NOLINT(readability-identifier-naming): the library's name
+    public:
+        template <bool isRequest, typename Fields>
+        reader(Http::header<isRequest, Fields>&, std::string& body)
+            : m_body(body)
+        {
+        }
+
+        void init(const boost::optional<std::uint64_t>& length, ErrorCode& error)
+        {
+            error = {};
+            m_body.reserve(static_cast<std::size_t>(length.value_or(0)));
+        }
+
+        template <typename Buffers> std::size_t put(const Buffers& buffers, ErrorCode& error)
+        {
+            error = {};
+            std::size_t count = 0;
+            for (const auto& buffer : boost::beast::buffers_range_ref(buffers)) {
+                growFor(buffer.size());
+                m_body.append(static_cast<const char*>(buffer.data()), buffer.size());
+                count += buffer.size();
+            }
+            return count;
+        }
+
+        void finish(ErrorCode& error) { error = {}; }
+
+    private:
+        void growFor(std::size_t bytes)
+        {
+            const std::size_t needed = m_body.size() + bytes;
+            if (needed > m_body.capacity() && needed > maxGrowingBodyBytes && needed <= longestBodyBytes)
+                m_body.reserve(longestBodyBytes);
+        }
+
+        std::string& m_body;
+    };
+};
+
+std::optional<std::uint64_t> toStdOptional(const boost::optional<std::uint64_t>& length)
+{
+    return length ? std::optional(*length) : std::nullopt;
+}
 
 std::string toStdString(boost::beast::string_view text) { return { text.data(), text.size() }; }
 
@@ -26,6 +79,12 @@
     return to;
 }
 
+template <typename Message> RequestHead copyHead(const Message& message)
+{
+    return { toStdString(message.method_string()), toStdString(message.target()), copyFields(message),
+        message.keep_alive() };
+}
+
 /// Feeds `bytes` to a parser and returns how many were used. Sets `error`, except if more bytes are needed
 /// and their start is within the limit.
 template <typename Parser> std::size_t feedParser(Parser& parser, std::string_view bytes, ErrorCode& error)
@@ -84,7 +143,7 @@
         parser.eager(true);
     }
 
-    Http::request_parser<Http::string_body> parser;
+    Http::request_parser<ReceivedBody> parser;
     std::optional<Refusal> refusal;
 };
 
@@ -123,14 +182,18 @@
     return headDone() && !done() && m_internals->parser.get().count(Http::field::expect) > 0;
 }
 
+RequestHead RequestParser::head() const { return copyHead(m_internals->parser.get()); }
+
+std::optional<std::uint64_t> RequestParser::announcedBodyBytes() const
+{
+    return headDone() ? toStdOptional(m_internals->parser.content_length()) : std::nullopt;
+}
+
 HttpRequest RequestParser::take()
 {
     auto message = m_internals->parser.release();
     HttpRequest request;
-    request.head.method = toStdString(message.method_string());
-    request.head.target = toStdString(message.target());
-    request.head.fields = copyFields(message);
-    request.head.keepAlive = message.keep_alive();
+    request.head = copyHead(message);
     request.body = std::move(message.body());
     return request;
 }
@@ -144,7 +207,7 @@
         parser.eager(true);
     }
 
-    Http::response_parser<Http::string_body> parser;
+    Http::response_parser<ReceivedBody> parser;
     bool failed { false };
 };
 
@@ -181,6 +244,12 @@
 
 bool ResponseParser::failed() const { return m_internals->failed; }
 
+std::optional<std::uint64_t> ResponseParser::announcedBodyBytes() const
+{
+    const auto& parser = m_internals->parser;
+    return parser.is_header_done() ? toStdOptional(parser.content_length()) : std::nullopt;
+}
+
 bool ResponseParser::endsWithConnection() const
 {
     return m_internals->parser.is_header_done() && m_internals->parser.need_eof();
@@ -197,36 +266,48 @@
     return response;
 }
 
-std::string writeRequest(const RequestHead& head, std::string_view body)
+std::string writeRequestHead(const RequestHead& head, std::size_t bodyBytes)
 {
     std::string text = head.method + ' ' + head.target + " HTTP/1.1\r\n";
     appendFields(text, head.fields);
-    if (!body.empty() || methodHasBody(head.method))
-        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    if (bodyBytes > 0 || methodHasBody(head.method))
+        text += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
     text += "\r\n";
-    text += body;
     return text;
 }
 
-std::string writeResponse(const ResponseHead& head, std::string_view body, bool isHeadRequest)
+std::string writeRequest(const RequestHead& head, std::string_view body)
+{
+    return writeRequestHead(head, body.size()).append(body);
+}
+
+bool sendsBody(const ResponseHead& head, bool isHeadRequest)
 {
     constexpr std::uint16_t noContent = 204;
     constexpr std::uint16_t notModified = 304;
+    const bool mayHaveBody = head.status >= 200 && head.status != noContent && head.status != notModified;
+    return mayHaveBody && !isHeadRequest;
+}
+
+std::string writeResponseHead(const ResponseHead& head, std::size_t bodyBytes, bool isHeadRequest)
+{
     std::string text
         = "HTTP/1.1 " + std::to_string(head.status) + ' ' + std::string(reasonPhrase(head.status)) + "\r\n";
     appendFields(text, head.fields);
-    const bool mayHaveBody = head.status >= 200 && head.status != noContent && head.status != notModified;
-    const bool hasBody = mayHaveBody && !isHeadRequest;
-    if (hasBody)
-        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    if (sendsBody(head, isHeadRequest))
+        text += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
     if (!head.keepAlive)
         text += "Connection: close\r\n";
     text += "\r\n";
-    if (hasBody)
-        text += body;
     return text;
 }
 
+std::string writeResponse(const ResponseHead& head, std::string_view body, bool isHeadRequest)
+{
+    std::string text = writeResponseHead(head, body.size(), isHeadRequest);
+    return sendsBody(head, isHeadRequest) ? std::move(text.append(body)) : text;
+}
+
 std::string_view reasonPhrase(std::uint16_t status)
 {
     const auto phrase = Http::obsolete_reason(static_cast<Http::status>(status));
--- a/src/transport/HttpCodec.h
+++ b/src/transport/HttpCodec.h
@@ -2,6 +2,7 @@
 // which only the .cpp file includes.
 #pragma once
 
+#include "protocol/Body.h"
 #include "protocol/HttpMessage.h"
 #include "protocol/Refusal.h"
 
@@ -15,14 +16,14 @@
 
 struct HttpRequest {
     RequestHead head;
-    std::string body;
+    Body body;
 
     auto operator<=>(const HttpRequest&) const = default;
 };
 
 struct HttpResponse {
     ResponseHead head;
-    std::string body;
+    Body body;
 
     auto operator<=>(const HttpResponse&) const = default;
 };
@@ -40,6 +41,10 @@
     std::size_t feed(std::string_view bytes);
     bool headDone() const;
     bool done() const;
+    /// Valid if `headDone` and not yet taken.
+    RequestHead head() const;
+    /// The length of the body if the header says it; nothing before `headDone`.
+    std::optional<std::uint64_t> announcedBodyBytes() const;
     /// Set if the bytes are not an acceptable request.
     const std::optional<Refusal>& refusal() const;
     /// Whether the header has an Expect field and the body is still to come: the caller waits for status 100.
@@ -67,6 +72,8 @@
     bool started() const;
     bool done() const;
     bool failed() const;
+    /// The length of the body if the header says it; nothing before the header is complete.
+    std::optional<std::uint64_t> announcedBodyBytes() const;
     /// Whether the response has no length, so that its body ends when the connection is closed.
     bool endsWithConnection() const;
     HttpResponse take();
@@ -76,10 +83,20 @@
     std::unique_ptr<Internals> m_internals;
 };
 
-/// Returns the bytes of a request. Adds Content-Length if there is a body or the method usually has one.
+/// Returns the bytes of a request before its body. Adds Content-Length if there is a body or the method
+/// usually has one.
+std::string writeRequestHead(const RequestHead&, std::size_t bodyBytes);
+
+/// Returns the bytes of a request.
 std::string writeRequest(const RequestHead&, std::string_view body);
 
-/// Returns the bytes of a response. `isHeadRequest`: the body and Content-Length are left out.
+/// Whether a response is sent with its body. `isHeadRequest`: the body and Content-Length are left out.
+bool sendsBody(const ResponseHead&, bool isHeadRequest);
+
+/// Returns the bytes of a response before its body.
+std::string writeResponseHead(const ResponseHead&, std::size_t bodyBytes, bool isHeadRequest);
+
+/// Returns the bytes of a response.
 std::string writeResponse(const ResponseHead&, std::string_view body, bool isHeadRequest);
 
 /// Returns the standard reason phrase of a status, or "Unknown" for an unknown status.
--- a/src/transport/PeerLinks.cpp
+++ b/src/transport/PeerLinks.cpp
@@ -1,8 +1,8 @@
 // Opens, accepts and monitors links, and dispatches their frames.
 #include "transport/PeerLinks.h"
 
-#include "coordination/MemoryBudget.h"
 #include "transport/ByteStream.h"
+#include "transport/LinkInput.h"
 #include "transport/SystemClock.h"
 
 #include <algorithm>
@@ -27,40 +27,20 @@
 constexpr Duration maxBackoff = 800ms;
 /// Limit on a frame from a node that has not introduced itself yet.
 constexpr std::size_t maxHelloBytes = 4096;
-/// A larger input buffer is freed once its frames are decoded, since a node has many links.
-constexpr std::size_t maxRetainedInputBytes = 64 << 10;
+/// How long a link is not read while there is no memory for a response on it. Below the time after which a
+/// link counts as silent.
+constexpr Duration maxReadingPause = 300ms;
 
 template <typename... Handlers> struct Overloaded : Handlers... {
     using Handlers::operator()...;
 };
 template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
-/// Removes the complete frames from the start of `input` and passes them to `onFrame`, until it returns
-/// false. Returns false and sets `problem` if the bytes are not a valid frame of at most `maxBytes()`, which
-/// a frame may change.
-template <typename MaxBytes, typename OnFrame>
-bool decodeFrames(std::string& input, std::string& problem, MaxBytes&& maxBytes, OnFrame&& onFrame)
+void writeFrame(ByteStream& stream, const EncodedFrame& frame)
 {
-    std::size_t used = 0;
-    bool valid = true;
-    while (true) {
-        std::size_t consumed = 0;
-        auto frame = decodeFrame(std::string_view(input).substr(used), consumed, maxBytes());
-        if (!frame) {
-            problem = frame.error();
-            valid = false;
-            break;
-        }
-        if (!*frame)
-            break;
-        used += consumed;
-        if (!onFrame(std::move(**frame)))
-            return true; // the link was closed; its input is not used any more
-    }
-    input.erase(0, used);
-    if (input.empty() && input.capacity() > maxRetainedInputBytes)
-        input.shrink_to_fit();
-    return valid;
+    stream.write(frame.before);
+    stream.writeBody(frame.body);
+    stream.write(frame.after);
 }
 
 } // namespace
@@ -69,17 +49,17 @@
 public:
     /// A link that this node opens.
     struct OutgoingLink {
-        explicit OutgoingLink(MemoryBudget& budget)
-            : inputBytes(budget)
+        explicit OutgoingLink(MemoryAdmission& admission)
+            : input(admission)
         {
         }
 
         VmId vm;
         std::shared_ptr<ByteStream> stream;
-        std::string input;
-        MemoryBudget::Reservation inputBytes; // of `input`
+        LinkInput input;
         bool up { false }; // the peer has responded to the hello
         std::uint64_t peerFrameLimit { maxFrameBytes }; // by the peer's hello
+        std::optional<Instant> pausedAt; // since then there is no memory for the next frame, a response
         bool connecting { false };
         bool requested { true };
         std::uint64_t peerIncarnation { 0 }; // of the last process that responded; 0: none yet
@@ -92,14 +72,13 @@
 
     /// A link that another node has opened.
     struct IncomingLink {
-        explicit IncomingLink(MemoryBudget& budget)
-            : inputBytes(budget)
+        explicit IncomingLink(MemoryAdmission& admission)
+            : input(admission)
         {
         }
 
         std::shared_ptr<ByteStream> stream;
-        std::string input;
-        MemoryBudget::Reservation inputBytes; // of `input`
+        LinkInput input;
         std::optional<HopOrigin> origin; // after the hello
         std::uint64_t replyEnd { 0 }; // position in the stream of the end of the last reply; 0: acknowledged
         Instant lastReceivedAt;
@@ -107,13 +86,13 @@
     using IncomingLinkPtr = std::shared_ptr<IncomingLink>;
 
     Internals(boost::asio::io_context& context, DecisionLog& decisions, PeerEvents& peerEvents,
-        const LinkHello& hello, std::uint16_t peerPort, std::size_t maxInputBytes)
+        const LinkHello& hello, std::uint16_t peerPort, MemoryAdmission& memoryAdmission)
         : io(context)
         , log(decisions)
         , events(peerEvents)
-        , localHello { hello.vm, hello.incarnation, std::min(maxInputBytes, maxFrameBytes) }
+        , localHello { hello.vm, hello.incarnation, std::min(memoryAdmission.limit(), maxFrameBytes) }
         , port(peerPort)
-        , inputBudget(maxInputBytes)
+        , admission(memoryAdmission)
     {
     }
 
@@ -150,7 +129,7 @@
     {
         link->stream = std::move(stream);
         link->input.clear();
-        link->inputBytes.resize(0);
+        link->pausedAt.reset();
         link->lastReceivedAt = monotonicNow();
         startCurrentStream(weak_from_this(), link, &Internals::onOutgoingBytes,
             [](Internals& links, const OutgoingLinkPtr& lost, StreamEnd) {
@@ -163,36 +142,68 @@
     {
         link->lastReceivedAt = monotonicNow();
         link->input.append(bytes);
-        std::string problem;
+        readOutgoing(link);
+    }
+
+    void readOutgoing(const OutgoingLinkPtr& link)
+    {
         const auto stream = link->stream;
-        const auto maxBytes = [&] { return link->up ? localHello.frameLimit : maxHelloBytes; };
-        const bool valid = decodeFrames(link->input, problem, maxBytes, [&](PeerFrame frame) {
-            onOutgoingFrame(link, std::move(frame));
-            return link->stream == stream;
+        while (link->stream == stream) {
+            auto next = link->input.next(link->up ? localHello.frameLimit : maxHelloBytes);
+            if (auto* frame = std::get_if<PeerFrame>(&next))
+                onOutgoingFrame(link, std::move(*frame));
+            else if (const auto* invalid = std::get_if<LinkInput::Invalid>(&next))
+                return disconnect(link, invalid->problem);
+            else if (const auto* refused = std::get_if<LinkInput::Refused>(&next)) {
+                if (!onFrameRefused(link, *refused))
+                    return;
+            } else
+                return;
+        }
+    }
+
+    /// There is no memory for the next frame. Pauses the link, which holds up other responses on it; after
+    /// `maxReadingPause` gives the response up. Returns whether reading goes on.
+    bool onFrameRefused(const OutgoingLinkPtr& link, const LinkInput::Refused& refused)
+    {
+        if (!refused.start || !isHopResponse(*refused.start)) {
+            disconnect(link, "no memory for a frame");
+            return false;
+        }
+        const Instant now = monotonicNow();
+        if (!link->pausedAt)
+            link->pausedAt = now;
+        if (now - *link->pausedAt < maxReadingPause) {
+            link->stream->pauseReading();
+            return false;
+        }
+        resumeReading(link);
+        admission.recordRefusal(MemoryUse::Response);
+        link->input.skip();
+        log.failure("no memory for a response", "", now, [&] {
+            return nlohmann::json { { "vm", link->vm.text },
+                { "heldBytes", admission.budget().heldBytes() } };
         });
-        if (!valid)
-            return disconnect(link, problem);
-        link->inputBytes.resize(link->input.size());
-        endLargestInput();
+        events.onResponseDiscarded(link->vm, refused.start->number);
+        return true;
     }
 
-    /// Ends the link with the longest incomplete frame if all links together hold too many bytes.
-    void endLargestInput()
+    static void resumeReading(const OutgoingLinkPtr& link)
     {
-        if (!inputBudget.isExceeded())
+        link->pausedAt.reset();
+        link->stream->resumeReading();
+    }
+
+    /// Reads on if there is memory by now, or the pause has lasted long enough.
+    void retryPaused(const OutgoingLinkPtr& link)
+    {
+        if (!link->pausedAt)
             return;
-        OutgoingLinkPtr largestOutgoing;
-        for (const auto& [vm, link] : outgoing) {
-            if (!largestOutgoing || link->inputBytes.bytes() > largestOutgoing->inputBytes.bytes())
-                largestOutgoing = link;
-        }
-        const auto largestIncoming = std::ranges::max_element(
-            incoming, {}, [](const IncomingLinkPtr& link) { return link->inputBytes.bytes(); });
-        const std::size_t outgoingBytes = largestOutgoing ? largestOutgoing->inputBytes.bytes() : 0;
-        if (largestIncoming != incoming.end() && (*largestIncoming)->inputBytes.bytes() >= outgoingBytes)
-            drop(IncomingLinkPtr(*largestIncoming), false);
-        else if (largestOutgoing)
-            disconnect(largestOutgoing, "incomplete frames exceed the memory reserved for them");
+        const auto stream = link->stream;
+        const Instant since = *link->pausedAt;
+        readOutgoing(link);
+        if (link->stream == stream && link->pausedAt == since && !link->input.isRefused())
+            resumeReading(link);
     }
 
     void onOutgoingFrame(const OutgoingLinkPtr& link, PeerFrame frame)
@@ -229,8 +240,8 @@
         if (link->stream)
             link->stream->close();
         link->stream.reset();
-        link->input = {};
-        link->inputBytes.resize(0);
+        link->input.clear();
+        link->pausedAt.reset();
         scheduleRetry(link);
         if (!std::exchange(link->up, false))
             return;
@@ -251,6 +262,8 @@
         const Duration period = heartbeatPeriod();
         const auto links = outgoing; // a copy: closing a link may change the table
         for (const auto& [vm, link] : links) {
+            if (link->stream)
+                retryPaused(link);
             if (link->stream && now - link->lastReceivedAt > period + silenceTimeout)
                 disconnect(link, "silent");
             else if (link->up && now - link->lastHeartbeatAt >= period)
@@ -271,18 +284,20 @@
     {
         link->lastReceivedAt = monotonicNow();
         link->input.append(bytes);
-        std::string problem;
-        const auto maxBytes = [&] { return link->origin ? localHello.frameLimit : maxHelloBytes; };
-        const bool valid = decodeFrames(link->input, problem, maxBytes, [&](PeerFrame frame) {
-            onIncomingFrame(link, std::move(frame));
-            return incoming.contains(link);
-        });
-        if (!valid)
-            return drop(link, false);
-        if (!incoming.contains(link))
-            return;
-        link->inputBytes.resize(link->input.size());
-        endLargestInput();
+        while (incoming.contains(link)) {
+            auto next = link->input.next(link->origin ? localHello.frameLimit : maxHelloBytes);
+            const auto* refused = std::get_if<LinkInput::Refused>(&next);
+            if (auto* frame = std::get_if<PeerFrame>(&next))
+                onIncomingFrame(link, std::move(*frame));
+            else if (refused && refused->start && isHopRequest(*refused->start)) {
+                admission.recordRefusal(MemoryUse::PeerRequest);
+                link->input.skip();
+                events.onRequestRefused(*link->origin, refused->start->number);
+            } else if (std::holds_alternative<LinkInput::Incomplete>(next))
+                return;
+            else
+                return drop(link, false);
+        }
     }
 
     void onIncomingFrame(const IncomingLinkPtr& link, PeerFrame frame)
@@ -328,7 +343,7 @@
     {
         if (incoming.erase(link) == 0)
             return;
-        link->inputBytes.resize(0);
+        link->input.clear();
         link->stream->close();
         if (link->origin)
             events.onOriginLost(*link->origin, processEnded);
@@ -356,14 +371,14 @@
     PeerEvents& events;
     const LinkHello localHello;
     const std::uint16_t port;
-    MemoryBudget inputBudget; // of incomplete frames on all links
+    MemoryAdmission& admission;
     std::map<VmId, OutgoingLinkPtr> outgoing;
     std::set<IncomingLinkPtr> incoming;
 };
 
 PeerLinks::PeerLinks(boost::asio::io_context& io, DecisionLog& log, PeerEvents& events,
-    const LinkHello& localHello, std::uint16_t port, std::size_t maxInputBytes)
-    : m_internals(std::make_shared<Internals>(io, log, events, localHello, port, maxInputBytes))
+    const LinkHello& localHello, std::uint16_t port, MemoryAdmission& admission)
+    : m_internals(std::make_shared<Internals>(io, log, events, localHello, port, admission))
 {
 }
 
@@ -371,7 +386,7 @@
 
 void PeerLinks::accept(boost::asio::ip::tcp::socket socket)
 {
-    auto link = std::make_shared<Internals::IncomingLink>(m_internals->inputBudget);
+    auto link = std::make_shared<Internals::IncomingLink>(m_internals->admission);
     link->stream = std::make_shared<ByteStream>(std::move(socket), PeerLocation::OtherVm);
     link->lastReceivedAt = monotonicNow();
     m_internals->incoming.insert(link);
@@ -387,7 +402,7 @@
     for (const VmId& vm : vms) {
         Internals::OutgoingLinkPtr& link = m_internals->outgoing[vm];
         if (!link) {
-            link = std::make_shared<Internals::OutgoingLink>(m_internals->inputBudget);
+            link = std::make_shared<Internals::OutgoingLink>(m_internals->admission);
             link->vm = vm;
         }
         link->requested = true;
@@ -428,10 +443,10 @@
     const auto found = m_internals->outgoing.find(vm);
     if (found == m_internals->outgoing.end() || !found->second->up)
         return false;
-    const std::string bytes = encodeFrame(frame);
-    if (bytes.size() > found->second->peerFrameLimit)
+    const EncodedFrame encoded = encodeFrameParts(frame);
+    if (encoded.size() > found->second->peerFrameLimit)
         return false;
-    found->second->stream->write(bytes);
+    writeFrame(*found->second->stream, encoded);
     return true;
 }
 
@@ -450,7 +465,7 @@
     const auto link = m_internals->findIncoming(origin);
     if (!link)
         return false;
-    link->stream->write(encodeFrame(frame));
+    writeFrame(*link->stream, encodeFrameParts(frame));
     link->replyEnd = link->stream->written();
     return true;
 }
--- a/src/transport/PeerLinks.h
+++ b/src/transport/PeerLinks.h
@@ -3,6 +3,7 @@
 // then reconcile the requests that were in flight (HopResume).
 #pragma once
 
+#include "coordination/MemoryAdmission.h"
 #include "protocol/PeerFrame.h"
 #include "state/HopOrigin.h"
 #include "transport/DecisionLog.h"
@@ -30,11 +31,15 @@
     virtual void onLinkUp(const VmId&, std::uint64_t process) = 0;
     virtual void onLinkDown(const VmId&) = 0;
     virtual void onResponse(const VmId&, HopResponse) = 0;
+    /// There was no memory for the response to a request.
+    virtual void onResponseDiscarded(const VmId&, std::uint64_t number) = 0;
     virtual void onStoreChanges(const StoreChangesResponse&) = 0;
     virtual void onTokenResponse(const TokenResponse&) = 0;
 
     // Called on the upstream's node, which accepted the link.
     virtual void onRequest(const HopOrigin&, HopRequest) = 0;
+    /// There is no memory for a request, which is not received.
+    virtual void onRequestRefused(const HopOrigin&, std::uint64_t number) = 0;
     virtual void onCancel(const HopOrigin&, std::uint64_t number) = 0;
     virtual void onResume(const HopOrigin&, const HopResume&) = 0;
     /// The link from an origin has ended. `processEnded`: a new process of the same VM has connected.
@@ -47,10 +52,10 @@
 /// Belongs to the event loop's thread.
 class PeerLinks {
 public:
-    /// All nodes listen on `port`. `maxInputBytes` limits the incomplete frames on all links together: when
-    /// they exceed it, the link with the longest is ended. The referenced objects must outlive the links.
+    /// All nodes listen on `port`. Long frames are received when `admission` has memory for them. The
+    /// referenced objects must outlive the links.
     PeerLinks(boost::asio::io_context&, DecisionLog&, PeerEvents&, const LinkHello& localHello,
-        std::uint16_t port, std::size_t maxInputBytes);
+        std::uint16_t port, MemoryAdmission& admission);
     ~PeerLinks();
 
     /// Adds a connection that another node has opened.
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -40,12 +40,6 @@
 /// Minimum time from the stop signal to the end of the process, in which the platform learns that this node
 /// is leaving. The node keeps serving during this time.
 constexpr Duration minLeaveTime = 2500ms;
-/// Share of the process's memory for responses of the upstream that are being received. A response exists in
-/// up to three copies: here, on the link to the entry node, and on the connection of the caller.
-constexpr double responseMemoryShare = 0.15;
-/// Share of the process's memory for incomplete frames of other nodes. Larger than the share for requests of
-/// callers, so that nodes with as much memory accept each other's.
-constexpr double frameMemoryShare = 0.25;
 
 std::uint64_t randomSeed()
 {
@@ -53,11 +47,6 @@
     return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
-std::size_t memoryShare(const SidecarSettings& settings, double share)
-{
-    return static_cast<std::size_t>(settings.memoryMegabytes * share * (1 << 20));
-}
-
 std::string portAddress(const SidecarSettings& settings, std::uint16_t port)
 {
     return settings.vm.text + ':' + std::to_string(port);
@@ -76,10 +65,9 @@
         , m_store(m_io, m_state.timers, adapter, m_mirror, m_state.log, m_state.settings.storeAddress,
               randomSeed())
         , m_links(m_io, m_state.log, *this, { m_localOrigin.vm, m_localOrigin.incarnation },
-              m_state.settings.peerPort, memoryShare(m_state.settings, frameMemoryShare))
+              m_state.settings.peerPort, m_state.memory)
         , m_feed(m_state, m_mirror, m_store, m_links, m_storeReachability)
-        , m_pool(m_io, m_state.settings.upstreamAddress, adapter.fieldNames(),
-              memoryShare(m_state.settings, responseMemoryShare))
+        , m_pool(m_io, m_state.settings.upstreamAddress, adapter.fieldNames(), m_state.memory)
         , m_hop(m_state, m_pool,
               [this](const HopOrigin& origin, HopResponse response) {
                   return replyTo(origin, std::move(response));
@@ -354,6 +342,11 @@
         m_entry.onResponse(vm, std::move(response));
     }
 
+    void onResponseDiscarded(const VmId& vm, std::uint64_t number) override
+    {
+        m_entry.onResponseDiscarded(vm, number);
+    }
+
     void onStoreChanges(const StoreChangesResponse& response) override
     {
         m_feed.onChanges(response, monotonicNow());
@@ -374,6 +367,10 @@
     {
         m_hop.request(origin, std::move(request));
     }
+    void onRequestRefused(const HopOrigin& origin, std::uint64_t number) override
+    {
+        m_hop.refuse(origin, number);
+    }
     void onCancel(const HopOrigin& origin, std::uint64_t number) override { m_hop.cancel(origin, number); }
     void onResume(const HopOrigin& origin, const HopResume& resume) override
     {
--- a/src/transport/SidecarMetrics.cpp
+++ b/src/transport/SidecarMetrics.cpp
@@ -101,6 +101,18 @@
     for (const auto& [cause, count] : counters.slowReadersCut)
         addCounter(cut, { { "cause", cause } }, count);
     families.push_back(std::move(cut));
+    families.push_back(makeGauge("ebony_message_bytes", "Bytes held for messages, each counted once.",
+        static_cast<double>(state.memory.budget().heldBytes())));
+    families.push_back(makeGauge("ebony_message_bytes_limit", "Limit on the bytes held for messages.",
+        static_cast<double>(state.memory.limit())));
+    MetricFamily memoryRefusals = makeMetricFamily("ebony_memory_refusals_total",
+        "Messages that were not received, or not read for a while, for want of memory.", MetricType::Counter);
+    for (const MemoryUse use : { MemoryUse::CallerRequest, MemoryUse::PeerRequest, MemoryUse::Response })
+        addCounter(memoryRefusals, { { "use", std::string(describe(use)) } }, state.memory.refusals(use));
+    families.push_back(std::move(memoryRefusals));
+    families.push_back(makeCounter("ebony_retained_responses_dropped_total",
+        "Responses kept in case an entry node asks that were dropped early for want of memory.",
+        counters.retainedResponsesDropped));
     families.push_back(makeGauge("ebony_upstream_connections", "Connections to the upstream.",
         static_cast<double>(stats.upstreamConnections)));
     families.push_back(
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -3,6 +3,7 @@
 
 #include "coordination/CallCosts.h"
 #include "coordination/LocalUpstream.h"
+#include "coordination/MemoryAdmission.h"
 #include "coordination/OverloadController.h"
 #include "coordination/RetryBudget.h"
 #include "coordination/TimerService.h"
@@ -45,6 +46,7 @@
     std::uint64_t slowReaders { 0 }; ///< responses that their callers did not have after `slowReaderTime`
     std::map<std::string, std::uint64_t>
         slowReadersCut; ///< responses that were cut off, by "deadline" or "memory"
+    std::uint64_t retainedResponsesDropped { 0 }; ///< before their time, for want of memory
     std::uint64_t tokenRequests { 0 };
     std::map<std::string, LatencyHistogram> responseTimes; ///< of delivered responses, by route
     std::map<std::string, LatencyHistogram> gateWaits; ///< by route
@@ -62,6 +64,10 @@
 /// A request may reach the upstream so much later than it is sent, when a connection has to be opened first.
 constexpr Duration maxSendDelay = std::chrono::milliseconds(600);
 
+/// Share of the process's memory for all messages. The rest is for the store's copy, connections, and what
+/// the system holds for the process.
+constexpr double messageMemoryShare = 0.6;
+
 struct SidecarState {
     SidecarState(boost::asio::io_context& context, SidecarSettings given, const PlatformAdapter& platform,
         std::uint64_t seed)
@@ -71,12 +77,19 @@
         , directory(settings.heartbeat)
         , costs(settings.service)
         , upstreamSelector(settings.dataCentre, seed)
+        , memory(messageMemory(settings))
         , retryBudget({ settings.repeatRatio, settings.repeatWindow, settings.extraRepeats })
     {
     }
 
     Instant now() const { return clock(); }
 
+    /// Limit on the memory for messages, in bytes.
+    static std::size_t messageMemory(const SidecarSettings& settings)
+    {
+        return static_cast<std::size_t>(settings.memoryMegabytes * messageMemoryShare * (1 << 20));
+    }
+
     boost::asio::io_context& io;
     std::function<Instant()> clock { monotonicNow }; ///< tests replace it
     SidecarSettings settings;
@@ -89,6 +102,7 @@
     UpstreamSelector upstreamSelector;
     UpstreamNotices upstreamNotices;
     UpstreamRuns runs;
+    MemoryAdmission memory; ///< of all messages that the node holds
     RetryBudget retryBudget;
     std::optional<Instant> shutdownDeadline; ///< set while the node is leaving; no request is open after it
 
--- a/src/transport/StatusServer.cpp
+++ b/src/transport/StatusServer.cpp
@@ -56,7 +56,7 @@
             response.body = page.body;
         }
         connection->parser = RequestParser(maxHeaderBytes, 0);
-        connection->stream->write(writeResponse(response.head, response.body, false));
+        connection->stream->write(writeResponse(response.head, response.body.view(), false));
         if (!response.head.keepAlive) {
             connection->stream->closeAfterWriting();
             connections.erase(connection);
--- a/src/transport/StoreReader.cpp
+++ b/src/transport/StoreReader.cpp
@@ -232,8 +232,8 @@
         }
         if (status != statusOk)
             return fail("expected HTTP status 200, got " + std::to_string(status));
-        const bool isApplied
-            = connection->call == Call::Watch ? applyChanges(response.body) : applyPage(response.body, era);
+        const bool isApplied = connection->call == Call::Watch ? applyChanges(response.body.view())
+                                                               : applyPage(response.body.view(), era);
         if (!isApplied)
             return;
         const Duration took = monotonicNow() - connection->sentAt;
@@ -305,7 +305,7 @@
         return named;
     }
 
-    bool applyPage(const std::string& body, std::uint64_t era)
+    bool applyPage(std::string_view body, std::uint64_t era)
     {
         auto page = adapter.readPage(body);
         if (!page) {
@@ -331,7 +331,7 @@
         return true;
     }
 
-    bool applyChanges(const std::string& body)
+    bool applyChanges(std::string_view body)
     {
         const auto changes = adapter.readChanges(body);
         if (!changes) {
--- a/src/transport/UpstreamConnectionPool.cpp
+++ b/src/transport/UpstreamConnectionPool.cpp
@@ -2,12 +2,11 @@
 #include "transport/UpstreamConnectionPool.h"
 
 #include "coordination/CarriedRequests.h"
-#include "coordination/MemoryBudget.h"
 #include "transport/ByteStream.h"
 #include "transport/SystemClock.h"
 
 #include <algorithm>
-#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <unordered_map>
 #include <unordered_set>
@@ -30,6 +29,14 @@
 constexpr int maxStrayResponses = 2;
 /// Interim responses (1xx) before the final one. An upstream that sends more is not going to respond.
 constexpr int maxInterimResponses = 8;
+/// Share of the memory for messages that one response may have.
+constexpr double maxResponseShare = 0.25;
+/// Shorter responses are read also when there is no memory left.
+constexpr std::size_t minCountedBytes = minLongBodyBytes;
+/// A response without a length gets memory in steps.
+constexpr std::size_t memoryStepBytes = std::size_t { 64 } << 10;
+/// How often responses that are not read ask for memory.
+constexpr Duration retryPeriod = 10ms;
 
 Duration keepAliveTimeoutOf(const HttpFields& fields)
 {
@@ -51,11 +58,6 @@
 class UpstreamConnectionPool::Internals : public std::enable_shared_from_this<Internals> {
 public:
     struct Connection {
-        explicit Connection(MemoryBudget& budget)
-            : received(budget)
-        {
-        }
-
         std::uint64_t number { 0 }; // since the start
         std::shared_ptr<ByteStream> stream;
         std::optional<ResponseParser> parser; // while an exchange is under way
@@ -71,17 +73,20 @@
         bool hadStrayResponse { false }; // of the current exchange
         int strayResponses { 0 };
         int interimResponses { 0 }; // of the current exchange
-        MemoryBudget::Reservation received; // bytes of the current exchange
+        std::size_t received { 0 }; // bytes of the current response
+        std::shared_ptr<MemoryBudget::Reservation> memory; // of the current response, if it is counted
+        bool isPaused { false }; // not read for want of memory
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
 
     Internals(boost::asio::io_context& context, std::string upstreamAddress, const FieldNames& names,
-        std::size_t limit)
+        MemoryAdmission& memoryAdmission)
         : io(context)
         , address(std::move(upstreamAddress))
         , fieldNames(names)
-        , maxBodyBytes(limit)
-        , budget(limit)
+        , admission(memoryAdmission)
+        , maxBodyBytes(static_cast<std::uint64_t>(static_cast<double>(admission.limit()) * maxResponseShare))
+        , retryTimer(context)
     {
     }
 
@@ -96,7 +101,8 @@
         connection->interimResponses = 0;
         connection->parser.emplace(connection->request.isHeadRequest, maxBodyBytes);
         active[exchange] = connection;
-        connection->stream->write(connection->request.bytes);
+        connection->stream->write(std::exchange(connection->request.head, {}));
+        connection->stream->writeBody(std::exchange(connection->request.body, {}));
     }
 
     void open(ExchangeId exchange, UpstreamRequest request, Callback done)
@@ -109,7 +115,7 @@
                     return; // aborted
                 if (!stream)
                     return done({ UpstreamResult::Kind::NotConnected, {}, true });
-                auto connection = std::make_shared<Connection>(self->budget);
+                auto connection = std::make_shared<Connection>();
                 connection->number = ++self->opened;
                 connection->stream = std::move(stream);
                 self->listen(connection);
@@ -129,18 +135,66 @@
         if (connection->exchange == 0)
             return drop(connection); // no request is under way
         connection->input.append(bytes);
-        connection->received.resize(connection->received.bytes() + bytes.size());
+        connection->received += bytes.size();
         readResponse(connection);
-        if (budget.isExceeded())
-            giveUpLargestResponse();
+        if (connection->exchange != 0 && !hasMemory(*connection))
+            pause(connection);
+    }
+
+    /// Takes memory for what is known of the response. False if there is none.
+    bool hasMemory(Connection& connection)
+    {
+        const std::size_t known
+            = std::max<std::size_t>(connection.received, connection.parser->announcedBodyBytes().value_or(0));
+        if (known < minCountedBytes)
+            return true;
+        const std::size_t counted = connection.memory ? connection.memory->bytes() : 0;
+        if (known <= counted)
+            return true;
+        const std::size_t needed = (known + memoryStepBytes - 1) / memoryStepBytes * memoryStepBytes;
+        if (!admission.admits(MemoryUse::Response, needed - counted))
+            return false;
+        if (!connection.memory)
+            connection.memory = std::make_shared<MemoryBudget::Reservation>(admission.budget());
+        connection.memory->resize(needed);
+        return true;
     }
 
-    void giveUpLargestResponse()
+    void pause(const ConnectionPtr& connection)
     {
-        const auto largest = std::ranges::max_element(
-            active, {}, [](const auto& item) { return item.second->received.bytes(); });
-        if (largest != active.end())
-            finish(ConnectionPtr(largest->second), UpstreamResult::Kind::Invalid, {}, false);
+        connection->isPaused = true;
+        connection->stream->pauseReading();
+        admission.recordRefusal(MemoryUse::Response);
+        if (pausedCount() == 1)
+            retryLater();
+    }
+
+    std::size_t pausedCount() const
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(connections, [](const auto& connection) { return connection->isPaused; }));
+    }
+
+    void retryLater()
+    {
+        retryTimer.expires_after(std::chrono::duration_cast<std::chrono::microseconds>(retryPeriod));
+        retryTimer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+            const auto self = error ? nullptr : weak.lock();
+            if (self)
+                self->retryPaused();
+        });
+    }
+
+    void retryPaused()
+    {
+        for (const ConnectionPtr& connection : connections) {
+            if (connection->isPaused && hasMemory(*connection)) {
+                connection->isPaused = false;
+                connection->stream->resumeReading();
+            }
+        }
+        if (pausedCount() > 0)
+            retryLater();
     }
 
     void readResponse(const ConnectionPtr& connection)
@@ -167,6 +221,8 @@
             if (++skipped > (isInterim ? maxInterimResponses : maxStrayResponses))
                 return finish(connection, UpstreamResult::Kind::Invalid, {}, false);
             connection->parser.emplace(connection->request.isHeadRequest, maxBodyBytes);
+            connection->received = connection->input.size();
+            connection->memory.reset();
         }
     }
 
@@ -205,13 +261,20 @@
         const ConnectionPtr& connection, UpstreamResult::Kind kind, HttpResponse response, bool reusable)
     {
         const Callback done = std::move(connection->done);
+        if (connection->memory && response.body.isLong()) {
+            connection->memory->resize(response.body.size());
+            response.body.count(connection->memory);
+        }
+        connection->memory.reset();
+        connection->received = 0;
+        connection->isPaused = false;
+        connection->stream->resumeReading();
         UpstreamResult result { kind, std::move(response), !connection->hasReceivedBytes,
             connection->hasServedRequest, connection->number };
         active.erase(connection->exchange);
         connection->exchange = 0;
         connection->done = nullptr;
         connection->parser.reset();
-        connection->received.resize(0);
         connection->hasServedRequest = true;
         connection->idleSince = monotonicNow();
         if (reusable)
@@ -225,6 +288,7 @@
     {
         std::erase(idle, connection);
         std::erase(connections, connection);
+        connection->memory.reset();
         connection->stream->close();
     }
 
@@ -258,8 +322,9 @@
     boost::asio::io_context& io;
     std::string address;
     const FieldNames& fieldNames;
+    MemoryAdmission& admission;
     const std::uint64_t maxBodyBytes; // of one response
-    MemoryBudget budget; // of all responses that are being received
+    boost::asio::steady_timer retryTimer; // while a connection is paused
     std::vector<ConnectionPtr> connections; // all that are open
     std::vector<ConnectionPtr> idle; // without an exchange, the most recently used last
     std::unordered_map<ExchangeId, ConnectionPtr> active;
@@ -270,8 +335,8 @@
 };
 
 UpstreamConnectionPool::UpstreamConnectionPool(
-    boost::asio::io_context& io, std::string address, const FieldNames& fields, std::size_t maxResponseBytes)
-    : m_internals(std::make_shared<Internals>(io, std::move(address), fields, maxResponseBytes))
+    boost::asio::io_context& io, std::string address, const FieldNames& fields, MemoryAdmission& admission)
+    : m_internals(std::make_shared<Internals>(io, std::move(address), fields, admission))
 {
 }
 
@@ -321,7 +386,7 @@
 
 std::size_t UpstreamConnectionPool::connectionCount() const { return m_internals->connections.size(); }
 
-std::size_t UpstreamConnectionPool::heldBytes() const { return m_internals->budget.heldBytes(); }
+std::size_t UpstreamConnectionPool::pausedCount() const { return m_internals->pausedCount(); }
 
 std::uint64_t UpstreamConnectionPool::openedCount() const { return m_internals->opened; }
 
--- a/src/transport/UpstreamConnectionPool.h
+++ b/src/transport/UpstreamConnectionPool.h
@@ -3,6 +3,7 @@
 // connection, or one that was used a short time ago and is found to be still open.
 #pragma once
 
+#include "coordination/MemoryAdmission.h"
 #include "protocol/PlatformAdapter.h"
 #include "state/Time.h"
 #include "transport/UpstreamTransport.h"
@@ -17,10 +18,10 @@
 /// Belongs to the event loop's thread.
 class UpstreamConnectionPool : public UpstreamTransport {
 public:
-    /// `fields` outlives the pool. `maxResponseBytes` limits the responses that are being received, all
-    /// together: when they exceed it, the largest is invalid.
-    UpstreamConnectionPool(boost::asio::io_context&, std::string address, const FieldNames& fields,
-        std::size_t maxResponseBytes);
+    /// `fields` and `admission` outlive the pool. A response that `admission` has no memory for is not read
+    /// until it has. A longer response than a share of its limit is invalid.
+    UpstreamConnectionPool(
+        boost::asio::io_context&, std::string address, const FieldNames& fields, MemoryAdmission& admission);
     ~UpstreamConnectionPool() override;
 
     ExchangeId send(UpstreamRequest, Callback done) override;
@@ -33,8 +34,8 @@
 
     /// The number of open connections.
     std::size_t connectionCount() const;
-    /// The bytes of responses that are being received.
-    std::size_t heldBytes() const;
+    /// The number of responses that are not read for want of memory.
+    std::size_t pausedCount() const;
     /// The number of connections opened since the start.
     std::uint64_t openedCount() const;
     /// The number of responses that were skipped because they belong to no request under way.
--- a/src/transport/UpstreamTransport.h
+++ b/src/transport/UpstreamTransport.h
@@ -28,7 +28,8 @@
 };
 
 struct UpstreamRequest {
-    std::string bytes; ///< the serialized request with its body
+    std::string head; ///< the bytes before the body
+    Body body;
     std::string id; ///< request id; a response that echoes another one is skipped, one without it is invalid
     bool isHeadRequest { false };
     bool idempotent { false };
--- a/test/correctness/ForeignBytesAreBounded.cpp
+++ b/test/correctness/ForeignBytesAreBounded.cpp
@@ -90,27 +90,31 @@
     CHECK(fixture.responses[0].outcome == HopOutcome::Responded);
 }
 
-TEST_CASE("of several bodies that do not end, the largest are given up, and other requests are served")
+TEST_CASE(
+    "of several bodies that do not end, those without memory are not read, and other requests are served")
 {
-    constexpr std::size_t budget = 1 << 20; // HopServiceFixture's limit for all responses together
-    HopServiceFixture fixture([](const HttpRequest& request) {
-        const bool isEndless = request.head.fields.find("X-Id") != "9";
-        if (!isEndless)
-            return ScriptedResponse { sealedResponse(request) };
-        return ScriptedResponse { "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 1000000\r\n\r\n"
-            + std::string(700000, 'x') };
-    });
-    for (std::uint64_t number = 1; number <= 4; ++number)
+    HopServiceFixture fixture(
+        [](const HttpRequest& request) {
+            const bool isEndless = request.head.fields.find("X-Id") != "9";
+            if (!isEndless)
+                return ScriptedResponse { sealedResponse(request) };
+            return ScriptedResponse { "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 2400000\r\n\r\n"
+                + std::string(1'700'000, 'x') };
+        },
+        16); // memory for four of them
+    for (std::uint64_t number = 1; number <= 6; ++number)
         fixture.hop.request(fixture.origin, HopServiceFixture::makeRequest(number, true));
-    fixture.runUntil([&] { return fixture.responses.size() >= 3; });
-    CHECK(fixture.responses.size() == 3);
-    for (const HopResponse& response : fixture.responses)
-        CHECK(response.reason == HopReason::ResponseInvalid);
-    CHECK(fixture.pool.heldBytes() <= budget);
-    fixture.responses.clear();
+    fixture.runUntil([&] { return fixture.pool.pausedCount() == 2; });
+    CHECK(fixture.pool.pausedCount() == 2);
+    CHECK(fixture.state.memory.budget().heldBytes() <= fixture.state.memory.limit());
     fixture.requestAndWait(9, true);
     REQUIRE(fixture.responses.size() == 1);
     CHECK(fixture.responses[0].outcome == HopOutcome::Responded);
+    CHECK(fixture.pool.pausedCount() == 2);
+    for (std::uint64_t number = 1; number <= 6; ++number)
+        fixture.hop.cancel(fixture.origin, number);
+    CHECK(fixture.state.memory.budget().heldBytes() == 0);
+    CHECK(fixture.pool.pausedCount() == 0);
 }
 
 TEST_CASE("a frame of nested arrays is rejected instead of exhausting the stack")
--- a/test/correctness/LinksRejectUnboundedFrames.cpp
+++ b/test/correctness/LinksRejectUnboundedFrames.cpp
@@ -46,12 +46,86 @@
     CHECK(Testing::runUntil(fixture.io, [&] { return fixture.events.heartbeats == 1; }));
 }
 
+// Guards against requests of other callers being lost with a link that is ended for want of memory.
+TEST_CASE("of several long requests on links, those without memory are answered, and their links go on")
+{
+    LinksFixture fixture(maxInputBytes);
+    HopRequest request;
+    request.body = std::string(500'000, 'x'); // there is memory for one
+    std::vector<std::shared_ptr<ByteStream>> streams;
+    std::vector<std::string> rests;
+    for (int i = 0; i < 4; ++i) {
+        request.number = static_cast<std::uint64_t>(i) + 1;
+        const std::string frame = encodeFrame(request);
+        streams.push_back(fixture.connectAs("10.0.0." + std::to_string(i)));
+        streams.back()->write(frame.substr(0, 300'000));
+        rests.push_back(frame.substr(300'000));
+    }
+    CHECK(Testing::runUntil(fixture.io, [&] { return fixture.events.refused.size() == 3; }));
+    CHECK(fixture.admission.budget().heldBytes() <= maxInputBytes);
+    CHECK(fixture.admission.refusals(MemoryUse::PeerRequest) == 3);
+    for (int i = 0; i < 4; ++i)
+        streams[i]->write(rests[i] + encodeFrame(LinkHeartbeat {}));
+    CHECK(Testing::runUntil(
+        fixture.io, [&] { return fixture.events.heartbeats == 4 && fixture.events.requests.size() == 1; }));
+    CHECK(fixture.ended == 0);
+    REQUIRE(fixture.events.requests.size() == 1);
+    CHECK(fixture.events.requests[0].body == request.body);
+    CHECK(fixture.admission.budget().heldBytes() > request.body.size()); // held by the body
+    fixture.events.requests.clear();
+    CHECK(fixture.admission.budget().heldBytes() == 0);
+}
+
+// Guards against a response without memory holding up the others on its link, or ending it.
+TEST_CASE("a long response without memory waits for it, then is given up, and its link goes on")
+{
+    LinksFixture fixture(maxInputBytes);
+    CountingEvents events;
+    MemoryAdmission admission(maxInputBytes);
+    PeerLinks entry { fixture.io, fixture.log, events, { { "127.0.0.2" }, 5 }, fixture.acceptor.port(),
+        admission };
+    const VmId upstream { "127.0.0.1" };
+    entry.setPeers({ upstream });
+    entry.tick(monotonicNow());
+    REQUIRE(Testing::runUntil(fixture.io, [&] { return entry.isUp(upstream); }));
+    std::optional<MemoryBudget::Reservation> others(admission.budget());
+    others->resize(maxInputBytes / 2);
+    HopResponse response;
+    response.body = std::string(maxInputBytes * 3 / 4, 'x');
+    const HopOrigin origin { { "127.0.0.2" }, 5 };
+    const auto reply = [&](std::uint64_t number) {
+        response.number = number;
+        fixture.links.reply(origin, response);
+        HopResponse next;
+        next.number = number + 1;
+        fixture.links.reply(origin, next);
+    };
+    reply(1);
+    CHECK(Testing::runUntil(fixture.io, [&] {
+        entry.tick(monotonicNow());
+        return events.responses.size() == 1;
+    }));
+    CHECK(events.discarded == std::vector<std::uint64_t> { 1 });
+    CHECK(events.responses[0].number == 2);
+    reply(3);
+    const Instant soon = monotonicNow() + std::chrono::milliseconds(50);
+    CHECK(Testing::runUntil(fixture.io, [&] { return monotonicNow() > soon; }));
+    others.reset();
+    CHECK(Testing::runUntil(fixture.io, [&] {
+        entry.tick(monotonicNow());
+        return events.responses.size() == 3;
+    }));
+    CHECK(events.discarded.size() == 1);
+    CHECK(entry.isUp(upstream));
+}
+
 TEST_CASE("a frame that exceeds the other node's limit is not sent, and the link stays up")
 {
     LinksFixture fixture(maxInputBytes);
     CountingEvents events;
+    MemoryAdmission senderAdmission(maxInputBytes * 4);
     PeerLinks sender { fixture.io, fixture.log, events, { { "127.0.0.2" }, 5 }, fixture.acceptor.port(),
-        maxInputBytes * 4 };
+        senderAdmission };
     const VmId receiver { "127.0.0.1" };
     sender.setPeers({ receiver });
     sender.tick(monotonicNow());
--- a/test/correctness/LostProcessesAreNotResumed.cpp
+++ b/test/correctness/LostProcessesAreNotResumed.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::size_t maxInputBytes = 1 << 20;
+constexpr std::size_t messageBytes = 1 << 20;
 const VmId entryVm { "127.0.0.1" };
 const VmId upstreamVm { "127.0.0.2" };
 
@@ -25,9 +25,11 @@
     void onLinkUp(const VmId&, std::uint64_t) override { }
     void onLinkDown(const VmId&) override { }
     void onResponse(const VmId&, HopResponse) override { }
+    void onResponseDiscarded(const VmId&, std::uint64_t) override { }
     void onStoreChanges(const StoreChangesResponse&) override { }
     void onTokenResponse(const TokenResponse&) override { }
     void onRequest(const HopOrigin&, HopRequest) override { }
+    void onRequestRefused(const HopOrigin&, std::uint64_t) override { }
     void onCancel(const HopOrigin&, std::uint64_t) override { }
     void onResume(const HopOrigin&, const HopResume&) override { }
     void onOriginLost(const HopOrigin&, bool) override { }
@@ -40,7 +42,7 @@
 class UpstreamProcess : public LinkEvents {
 public:
     UpstreamProcess(std::uint64_t incarnation, std::uint16_t port)
-        : m_links(m_io, m_log, *this, { upstreamVm, incarnation }, port, maxInputBytes)
+        : m_links(m_io, m_log, *this, { upstreamVm, incarnation }, port, m_admission)
         , m_acceptor(m_io, upstreamVm.text + ':' + std::to_string(port),
               [this](auto socket) { m_links.accept(std::move(socket)); })
     {
@@ -65,6 +67,7 @@
 private:
     boost::asio::io_context m_io; // its end closes the connections, as the end of a process does
     DecisionLog m_log;
+    MemoryAdmission m_admission { messageBytes };
     PeerLinks m_links;
     StreamAcceptor m_acceptor;
 };
@@ -73,7 +76,7 @@
 public:
     EntryNode(boost::asio::io_context& io, std::uint16_t port)
         : m_state(io, makeSidecarSettings(), m_adapter, 1)
-        , m_links(io, m_state.log, *this, { entryVm, 1 }, port, maxInputBytes)
+        , m_links(io, m_state.log, *this, { entryVm, 1 }, port, m_state.memory)
         , m_entry(m_state, *this, 1)
     {
         ServingConfig config = makeServingConfig();
--- a/test/fuzz/PeerFramesHandleMalformedInput.cpp
+++ b/test/fuzz/PeerFramesHandleMalformedInput.cpp
@@ -27,6 +27,8 @@
     request.target = "/a/b?c=\xff";
     request.fields.add("Host", "example");
     request.body = std::string("\0\xfe\xff", 3);
+    HopRequest longRequest = request;
+    longRequest.body = std::string(minLongBodyBytes, '\xff');
     HopResponse response;
     response.number = 7;
     response.outcome = HopOutcome::Responded;
@@ -38,7 +40,10 @@
     response.costs = { { { "deep" }, 0.24 } };
     response.gateWait = 3ms;
     response.arrivals = { { { "deep" }, 8 } };
-    return { LinkHello { { "10.0.0.1" }, 99 }, LinkHeartbeat { response.load, 5, false, 1.5 },
+    HopResponse longResponse = response;
+    longResponse.body = std::string(70'000, '\x01');
+    return { longRequest, longResponse, LinkHello { { "10.0.0.1" }, 99 },
+        LinkHeartbeat { response.load, 5, false, 1.5 },
         LinkHeartbeat { response.load, 5, true, std::nullopt },
         LinkHeartbeat { response.load, 5, true, std::nullopt, 3 }, request, response, HopCancel { 7 },
         HopResume { { 1, 2 }, 3 }, HopResume { { 1 }, std::nullopt }, StoreChangesRequest { 4, 2 },
@@ -62,6 +67,39 @@
     }
 }
 
+// Nodes of the version before read and write long bodies as they do short ones.
+TEST_CASE("a frame whose body is kept apart has the bytes of one that is encoded and decoded as a whole")
+{
+    HopRequest request;
+    HopResponse response;
+    for (const std::size_t length : { 0UL, 23UL, 24UL, 255UL, 256UL, 16384UL, 65535UL, 65536UL, 5000000UL }) {
+        request.body = std::string(length, '\x5b');
+        response.body = request.body;
+        for (const PeerFrame& frame : { PeerFrame(request), PeerFrame(response) }) {
+            const EncodedFrame parts = encodeFrameParts(frame);
+            const std::string whole = encodeFrame(frame);
+            CHECK((parts.before + std::string(parts.body.view()) + parts.after) == whole);
+            CHECK(parts.body.isLong() == (length >= minLongBodyBytes));
+            const auto decoded = decodeWholeFrame(whole);
+            REQUIRE(decoded);
+            CHECK(*decoded == frame);
+        }
+    }
+}
+
+TEST_CASE("the number of a request is known from the start of its frame")
+{
+    HopRequest request;
+    request.number = 0xffffffffff;
+    const std::string bytes = encodeFrame(request);
+    const auto start = frameStart(bytes.substr(0, 32));
+    REQUIRE(start);
+    CHECK(isHopRequest(*start));
+    CHECK(start->number == request.number);
+    for (std::size_t length = 0; length < 12; ++length)
+        CHECK_FALSE(frameStart(bytes.substr(0, length)));
+}
+
 TEST_CASE("changes from a node that doesn't say since when they are complete close no gap")
 {
     const std::string content("\x82\x07\x82\x09\x80", 5); // [7, [9, []]]
@@ -94,6 +132,10 @@
             std::size_t consumed = 0;
             const auto decoded = decodeFrame(bytes, consumed);
             CHECK((!decoded || consumed <= bytes.size()));
+            const auto whole = decodeWholeFrame(bytes);
+            CHECK(decoded.has_value() == whole.has_value());
+            if (decoded && whole)
+                CHECK(encodeFrame(**decoded) == encodeFrame(*whole)); // equal also if a number is NaN
         }
     }
 }
--- a/test/support/HopServiceFixture.h
+++ b/test/support/HopServiceFixture.h
@@ -10,8 +10,9 @@
 namespace Ebonystack::Testing {
 
 struct HopServiceFixture {
-    explicit HopServiceFixture(ScriptedUpstream::Script script)
-        : upstream(io, std::move(script))
+    explicit HopServiceFixture(ScriptedUpstream::Script script, std::uint32_t memoryMegabytes = 256)
+        : state(io, settingsWith(memoryMegabytes), adapter, 1)
+        , upstream(io, std::move(script))
     {
         state.settings.upstreamAddress = upstream.address();
         UpstreamRecord record = makeUpstreamRecord("i-1", "127.0.0.1");
@@ -20,6 +21,13 @@
         hop.refreshUpstream(state.now());
     }
 
+    static SidecarSettings settingsWith(std::uint32_t memoryMegabytes)
+    {
+        SidecarSettings settings = makeSidecarSettings();
+        settings.memoryMegabytes = memoryMegabytes;
+        return settings;
+    }
+
     static HopRequest makeRequest(std::uint64_t number, bool idempotent)
     {
         HopRequest request;
@@ -47,11 +55,11 @@
 
     boost::asio::io_context io;
     SimplePlatformAdapter adapter;
-    SidecarState state { io, makeSidecarSettings(), adapter, 1 };
+    SidecarState state;
     ScriptedUpstream upstream;
     std::vector<HopResponse> responses;
     bool linkUp { true };
-    UpstreamConnectionPool pool { io, upstream.address(), adapter.fieldNames(), 1 << 20 };
+    UpstreamConnectionPool pool { io, upstream.address(), adapter.fieldNames(), state.memory };
     HopService hop { state, pool, [this](const HopOrigin&, HopResponse response) {
                         if (linkUp)
                             responses.push_back(std::move(response));
--- a/test/support/LinksFixture.h
+++ b/test/support/LinksFixture.h
@@ -14,10 +14,12 @@
     void onHeartbeat(const VmId&, const LinkHeartbeat&) override { ++heartbeats; }
     void onLinkUp(const VmId&, std::uint64_t) override { ++linksUp; }
     void onLinkDown(const VmId&) override { }
-    void onResponse(const VmId&, HopResponse) override { }
+    void onResponse(const VmId&, HopResponse response) override { responses.push_back(std::move(response)); }
+    void onResponseDiscarded(const VmId&, std::uint64_t number) override { discarded.push_back(number); }
     void onStoreChanges(const StoreChangesResponse&) override { }
     void onTokenResponse(const TokenResponse&) override { }
-    void onRequest(const HopOrigin&, HopRequest) override { }
+    void onRequest(const HopOrigin&, HopRequest request) override { requests.push_back(std::move(request)); }
+    void onRequestRefused(const HopOrigin&, std::uint64_t number) override { refused.push_back(number); }
     void onCancel(const HopOrigin&, std::uint64_t) override { }
     void onResume(const HopOrigin&, const HopResume&) override { }
     void onOriginLost(const HopOrigin&, bool) override { ++lostOrigins; }
@@ -25,14 +27,19 @@
     StoreChangesResponse storeChanges(const StoreChangesRequest&) const override { return {}; }
     TokenResponse grantTokens(const TokenRequest&) override { return {}; }
 
+    std::vector<HopRequest> requests;
+    std::vector<std::uint64_t> refused;
+    std::vector<HopResponse> responses;
+    std::vector<std::uint64_t> discarded;
     int heartbeats { 0 };
     int linksUp { 0 };
     int lostOrigins { 0 };
 };
 
 struct LinksFixture {
-    explicit LinksFixture(std::size_t maxInputBytes)
-        : links(io, log, events, { { "127.0.0.1" }, 9 }, 1, maxInputBytes)
+    explicit LinksFixture(std::size_t messageBytes)
+        : admission(messageBytes)
+        , links(io, log, events, { { "127.0.0.1" }, 9 }, 1, admission)
     {
     }
 
@@ -56,6 +63,7 @@
     boost::asio::io_context io;
     DecisionLog log;
     CountingEvents events;
+    MemoryAdmission admission;
     PeerLinks links;
     StreamAcceptor acceptor { io, "127.0.0.1:0", [this](auto socket) { links.accept(std::move(socket)); } };
     int ended { 0 };
--- a/test/support/RawUpstream.h
+++ b/test/support/RawUpstream.h
@@ -23,12 +23,12 @@
         using Tcp = boost::asio::ip::tcp;
         Tcp::acceptor acceptor(m_peerIo, { boost::asio::ip::make_address("127.0.0.1"), 0 });
         m_pool.emplace(m_io, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
-            m_adapter.fieldNames(), std::size_t { 1 } << 20);
+            m_adapter.fieldNames(), m_admission);
         RequestHead head;
         head.method = "POST";
         head.target = "/x/1";
         head.fields.add("X-Id", "1");
-        m_pool->send({ writeRequest(head, std::string(bodyBytes, 'x')), "1", false, false },
+        m_pool->send({ writeRequestHead(head, bodyBytes), std::string(bodyBytes, 'x'), "1", false, false },
             [this](UpstreamResult given) { result = std::move(given); });
         runUntil(m_io, [&] { return m_pool->connectionCount() == 1; });
         m_socket = acceptor.accept();
@@ -74,6 +74,7 @@
     boost::asio::io_context m_io;
     boost::asio::io_context m_peerIo;
     SimplePlatformAdapter m_adapter;
+    MemoryAdmission m_admission { std::size_t { 4 } << 20 };
     std::optional<UpstreamConnectionPool> m_pool;
     boost::asio::ip::tcp::socket m_socket { m_peerIo };
 };
--- a/tools/lab/SimulatedUpstream.cpp
+++ b/tools/lab/SimulatedUpstream.cpp
@@ -47,7 +47,7 @@
 ExchangeId SimulatedUpstream::send(UpstreamRequest sent, Callback done)
 {
     RequestParser parser(maxHeaderBytes, maxBodyBytes);
-    parser.feed(sent.bytes);
+    parser.feed(sent.head + std::string(sent.body.view()));
     const HttpRequest request = parser.take();
     const SimplePlatformAdapter adapter;
     const auto remainingMs = request.head.fields.find(adapter.fieldNames().deadline).value_or("0");
