--- a/test/correctness/CallerResourcesAreBounded.cpp
+++ b/test/correctness/CallerResourcesAreBounded.cpp
@@ -129,6 +129,60 @@
     CHECK(fixture.entry.transport.sent.empty());
 }
 
+// Guards against requests of other callers being refused or lost beside long ones.
+TEST_CASE(
+    "a long request without memory waits unread while short ones go on, and is served when there is some")
+{
+    CallerServerFixture fixture(100, 100);
+    MemoryAdmission& memory = fixture.entry.state.memory;
+    std::optional<MemoryBudget::Reservation> others(memory.budget());
+    others->resize(memory.limit() / 2);
+    const auto stream = fixture.connect();
+    const std::string head = " /read/1 HTTP/1.1\r\nHost: example\r\nX-Id: 1\r\nX-Left: 20000\r\n"
+                             "Authorization: Bearer k\r\n";
+    stream->write("POST" + head + "Content-Length: 600000\r\n\r\n" + std::string(600'000, 'x'));
+    const auto shortStream = fixture.connect();
+    shortStream->write("GET" + head + "\r\n");
+    CHECK(fixture.runUntil([&] { return fixture.entry.transport.sent.size() == 1; }));
+    CHECK(fixture.entry.transport.sent[0].request.body.empty());
+    CHECK_FALSE(fixture.runUntil([&] { return fixture.entry.transport.sent.size() == 2; }));
+    SUBCASE("memory is released in time")
+    {
+        others.reset();
+        fixture.entry.state.timers.advance(monotonicNow());
+        REQUIRE(fixture.runUntil([&] { return fixture.entry.transport.sent.size() == 2; }));
+        CHECK(fixture.entry.transport.sent[1].request.body.size() == 600'000);
+        CHECK(memory.budget().heldBytes() >= 600'000);
+        CHECK(memory.budget().heldBytes() < 700'000); // once, though the call and the hop request have it
+        fixture.entry.respond(HopOutcome::Responded);
+        fixture.entry.transport.sent.clear();
+        CHECK(memory.budget().heldBytes() < 1000);
+    }
+    SUBCASE("no memory is released")
+    {
+        fixture.entry.state.timers.advance(monotonicNow() + 3s);
+        CHECK(fixture.runUntil([&] { return fixture.ended == 1; }));
+        CHECK(fixture.received.find("HTTP/1.1 503") != std::string::npos);
+        CHECK(memory.refusals(MemoryUse::CallerRequest) == 1);
+    }
+}
+
+// Guards against callers that announce a long body and don't send it.
+TEST_CASE("an announced length takes memory only while the body arrives")
+{
+    CallerServerFixture fixture(100, 100);
+    const MemoryBudget& budget = fixture.entry.state.memory.budget();
+    const auto stream = fixture.connect();
+    stream->write("POST /read/1 HTTP/1.1\r\nHost: example\r\nContent-Length: 600000\r\n\r\nstart");
+    CHECK(fixture.runUntil([&] { return budget.heldBytes() == 600'000; }));
+    fixture.server.tick(monotonicNow() + 2s);
+    CHECK(budget.heldBytes() < 1000);
+    stream->write("more");
+    CHECK(fixture.runUntil([&] { return budget.heldBytes() == 600'000; }));
+    stream->close();
+    CHECK(fixture.runUntil([&] { return budget.heldBytes() == 0; }));
+}
+
 TEST_CASE("callers that keep sending while their requests are served hold no more memory than others")
 {
     CallerServerFixture fixture(100, 1); // about 200 KB for requests
