--- a/tools/process/ChildProcess.h
+++ b/tools/process/ChildProcess.h
@@ -20,6 +20,8 @@
     ChildProcess& operator=(ChildProcess&&) noexcept;
     ~ChildProcess();
 
+    /// The id of the process, -1 once it has ended and `exitCode` has returned its status.
+    pid_t id() const { return m_pid; }
     /// Sends a signal; does nothing once the process has ended and `exitCode` has returned its status.
     void signal(int number);
     /// -1 once `exitCode` has returned the status.
