--- a/src/transport/UpstreamConnectionPool.cpp
+++ b/src/transport/UpstreamConnectionPool.cpp
@@ -261,7 +261,9 @@
         const ConnectionPtr& connection, UpstreamResult::Kind kind, HttpResponse response, bool reusable)
     {
         const Callback done = std::move(connection->done);
-        if (connection->memory && response.body.isLong()) {
+        if (response.body.isLong()) {
+            if (!connection->memory)
+                connection->memory = std::make_shared<MemoryBudget::Reservation>(admission.budget());
             connection->memory->resize(response.body.size());
             response.body.count(connection->memory);
         }
