--- a/src/protocol/Body.cpp
+++ b/src/protocol/Body.cpp
@@ -13,7 +13,7 @@
 Body Body::partOf(std::string buffer, std::size_t begin, std::size_t length)
 {
     Body body;
-    body.m_owner = std::make_shared<Owner>(std::move(buffer), nullptr);
+    body.m_owner = std::make_shared<Owner>(std::move(buffer));
     body.m_bytes = std::string_view(body.m_owner->buffer).substr(begin, length);
     return body;
 }
--- a/src/protocol/Body.h
+++ b/src/protocol/Body.h
@@ -42,6 +42,11 @@
 
 private:
     struct Owner {
+        explicit Owner(std::string bytes)
+            : buffer(std::move(bytes))
+        {
+        }
+
         const std::string buffer;
         std::shared_ptr<const void> reservation;
     };
