--- a/src/coordination/LongRequestQueue.cpp
+++ b/src/coordination/LongRequestQueue.cpp
@@ -2,6 +2,7 @@
 #include "coordination/LongRequestQueue.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace Ebonystack {
 namespace {
@@ -31,9 +32,14 @@
 std::vector<std::uint64_t> LongRequestQueue::admit(const std::function<bool(const LongRequest&)>& admits)
 {
     std::vector<std::uint64_t> admitted;
+    std::optional<double> blockedWorth;
     std::erase_if(m_requests, [&](const auto& item) {
-        if (!admits(item.second))
+        if (blockedWorth && item.second.worth < *blockedWorth)
             return false;
+        if (!admits(item.second)) {
+            blockedWorth = item.second.worth;
+            return false;
+        }
         admitted.push_back(item.second.id);
         return true;
     });
--- a/src/coordination/LongRequestQueue.h
+++ b/src/coordination/LongRequestQueue.h
@@ -15,7 +15,7 @@
 
 struct LongRequest {
     std::uint64_t id { 0 };
-    int worth { 0 };
+    double worth { 0 }; ///< see DemandClass
     std::size_t bytes { 0 };
     Instant until; ///< then it is refused
 
@@ -29,19 +29,25 @@
     /// none.
     std::uint64_t add(const LongRequest&);
     void remove(std::uint64_t id);
-    /// Removes and returns the requests that `admits` accepts, asked for one after the other.
+    /// Removes and returns the requests that `admits` accepts, asked for one after the other. Once it has not
+    /// accepted one, only others of the same worth may pass.
     std::vector<std::uint64_t> admit(const std::function<bool(const LongRequest&)>& admits);
     /// Removes and returns the requests whose time has passed.
     std::vector<std::uint64_t> expire(Instant now);
+    /// Whether a request of this worth has to wait behind others.
+    bool blocks(double worth) const
+    {
+        return !m_requests.empty() && m_requests.begin()->second.worth >= worth;
+    }
     bool empty() const { return m_requests.empty(); }
 
 private:
     struct Order {
-        int negatedWorth;
+        double negatedWorth;
         std::size_t bytes;
         std::uint64_t arrival;
 
-        auto operator<=>(const Order&) const = default;
+        std::partial_ordering operator<=>(const Order&) const = default;
     };
 
     std::map<Order, LongRequest> m_requests;
--- a/src/transport/ByteStream.cpp
+++ b/src/transport/ByteStream.cpp
@@ -10,6 +10,7 @@
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -133,6 +134,7 @@
 {
     m_onBytes = nullptr;
     m_onEnd = nullptr;
+    m_output.clear();
     ErrorCode ignored;
     m_socket.close(ignored);
 }
@@ -163,6 +165,12 @@
         awaitReadable();
 }
 
+bool ByteStream::hasPeerEnded()
+{
+    pollfd poll { m_socket.native_handle(), POLLRDHUP, 0 };
+    return !isOpen() || ::poll(&poll, 1, 0) > 0;
+}
+
 void ByteStream::awaitReadable()
 {
     if (m_isReadingPaused || m_awaitsReadable)
--- a/src/transport/ByteStream.h
+++ b/src/transport/ByteStream.h
@@ -65,6 +65,9 @@
     bool hasFailed() const { return m_hasFailed; }
     /// Whether the peer has closed the connection or sent bytes that are not read yet. Makes a system call.
     bool hasUnreadData();
+    /// Whether the peer has closed the connection, also if bytes before that are not read yet. Makes a system
+    /// call.
+    bool hasPeerEnded();
 
 private:
     void awaitReadable();
--- a/src/transport/CallerConnection.h
+++ b/src/transport/CallerConnection.h
@@ -19,6 +19,9 @@
     std::size_t inLong { 0 }; ///< received of the long request that is being read
     std::shared_ptr<MemoryBudget::Reservation> reservation; ///< of that request; set once it is admitted
     std::uint64_t waitId { 0 }; ///< while it waits for memory; else 0
+    Instant admittedAt;
+    std::optional<Instant> deadline; ///< of the long request, if its caller has one
+    bool isBehind { false }; ///< won't be complete by its deadline: gets memory only for what arrives
 };
 
 struct CallerConnection {
--- a/src/transport/CallerRequestMemory.cpp
+++ b/src/transport/CallerRequestMemory.cpp
@@ -1,6 +1,7 @@
 // Reserves the announced length of a long request, or steps of one without a length.
 #include "transport/CallerRequestMemory.h"
 
+#include "coordination/DemandClass.h"
 #include "transport/CallerDeadline.h"
 
 #include <algorithm>
@@ -12,16 +13,25 @@
 
 /// Part of the memory for messages that short requests of callers may have.
 constexpr std::size_t shortPartDivisor = 3;
-/// How long a request waits for memory: at most this share of its caller's time, and this time.
-constexpr double waitShare = 0.5;
-constexpr Duration maxWait = 2s;
+/// How long a request waits for memory: at most this share of its caller's time, and this time. Callers give
+/// up an idempotent request that is not read within a second or a third of its time.
+constexpr double waitShareOfIdempotent = 0.2;
+constexpr Duration maxWaitOfIdempotent = 600ms;
+constexpr double waitShareOfNonIdempotent = 0.5;
+constexpr Duration maxWaitOfNonIdempotent = 2s;
 /// For callers without a deadline.
-constexpr Duration defaultWait = 1s;
-/// A caller that sends nothing for this time has only memory for what it has sent.
+constexpr Duration defaultCallersTime = 2s;
+/// A request is not called slow before this time, or while its last bytes are not older.
 constexpr Duration stallTime = 1s;
 /// A request without a length gets memory in steps.
 constexpr std::size_t memoryStepBytes = std::size_t { 1 } << 20;
 
+/// A request without a route will be refused. The team is not known before the request is read.
+double worthOf(const RouteConfig* route)
+{
+    return route ? Ebonystack::worthOf(DemandClass { route->id, route->priority, 0, false }) : 0;
+}
+
 } // namespace
 
 CallerRequestMemory::CallerRequestMemory(SidecarState& state)
@@ -42,28 +52,44 @@
 CallerRequestMemory::Verdict CallerRequestMemory::check(const CallerConnectionPtr& connection, Instant now)
 {
     CallerRequestBytes& requests = connection->requests;
+    if (requests.waitId != 0)
+        return Verdict::Wait;
     const std::size_t needed = bytesNeeded(*connection);
+    if (requests.reservation && needed <= requests.reservation->bytes())
+        return Verdict::Read;
     if (needed < minLongMessageBytes && !requests.reservation)
         return isShortPartFull() || m_state.memory.budget().isExceeded() ? Verdict::Refuse : Verdict::Read;
-    if (take(*connection, needed))
+    if (requests.reservation && take(*connection, needed, now))
         return Verdict::Read;
+    const RequestHead head = connection->parser->head();
+    const RouteConfig* route = routeOf(head);
+    if (!requests.reservation) {
+        const auto callersTime = readCallerDeadline(head.fields, m_state.adapter.fieldNames().deadline);
+        if (callersTime)
+            requests.deadline = connection->phaseStartedAt + *callersTime;
+        if (!m_queue.blocks(worthOf(route)) && take(*connection, needed, now))
+            return Verdict::Read;
+    }
     if (!m_state.memory.canEverAdmit(MemoryUse::CallerRequest, needed))
         return Verdict::Refuse;
-    return wait(connection, needed, now);
+    return wait(connection, route, needed, now);
 }
 
-std::size_t CallerRequestMemory::bytesNeeded(const CallerConnection& connection) const
+std::size_t CallerRequestMemory::bytesNeeded(const CallerConnection& connection)
 {
     const CallerRequestBytes& requests = connection.requests;
     const std::size_t received = requests.reservation ? requests.inLong : requests.inShort;
-    if (const auto announced = connection.parser->announcedBodyBytes())
+    const auto announced = connection.parser->announcedBodyBytes();
+    if (announced && !requests.isBehind)
         return static_cast<std::size_t>(*announced);
-    return received < minLongMessageBytes ? received
-                                          : (received + memoryStepBytes) / memoryStepBytes * memoryStepBytes;
+    const std::size_t steps = received < minLongMessageBytes
+        ? received
+        : (received + memoryStepBytes) / memoryStepBytes * memoryStepBytes;
+    return announced ? std::min(steps, static_cast<std::size_t>(*announced)) : steps;
 }
 
 /// Reserves `bytes` for the long request of a connection; false if there is no memory.
-bool CallerRequestMemory::take(CallerConnection& connection, std::size_t bytes)
+bool CallerRequestMemory::take(CallerConnection& connection, std::size_t bytes, Instant now)
 {
     CallerRequestBytes& requests = connection.requests;
     const std::size_t held = requests.reservation ? requests.reservation->bytes() : requests.inShort;
@@ -72,6 +98,7 @@
     if (!requests.reservation) {
         requests.reservation = std::make_shared<MemoryBudget::Reservation>(m_state.memory.budget());
         requests.inLong = requests.inShort;
+        requests.admittedAt = now;
         setShort(connection, 0);
     }
     requests.reservation->resize(std::max(bytes, held));
@@ -79,27 +106,28 @@
 }
 
 CallerRequestMemory::Verdict CallerRequestMemory::wait(
-    const CallerConnectionPtr& connection, std::size_t bytes, Instant now)
+    const CallerConnectionPtr& connection, const RouteConfig* route, std::size_t bytes, Instant now)
 {
-    const RequestHead head = connection->parser->head();
-    const auto callersTime
-        = readCallerDeadline(head.fields, m_state.adapter.fieldNames().deadline).value_or(defaultWait);
-    const Duration time = std::min(fromSeconds(toSeconds(callersTime) * waitShare), maxWait);
-    connection->requests.waitId = ++m_lastWaitId;
+    CallerRequestBytes& requests = connection->requests;
+    const bool mayWaitLong = route && !route->idempotent;
+    const double share = mayWaitLong ? waitShareOfNonIdempotent : waitShareOfIdempotent;
+    const Duration most = mayWaitLong ? maxWaitOfNonIdempotent : maxWaitOfIdempotent;
+    const Duration left = requests.deadline ? *requests.deadline - now : defaultCallersTime;
+    requests.waitId = ++m_lastWaitId;
     m_waiting[m_lastWaitId] = connection;
     connection->stream->pauseReading();
-    const std::uint64_t displaced = m_queue.add({ m_lastWaitId, worthOf(head), bytes, now + time });
+    const Instant until = now + std::min(fromSeconds(toSeconds(left) * share), most);
+    const std::uint64_t displaced = m_queue.add({ m_lastWaitId, worthOf(route), bytes, until });
     if (displaced != 0)
         m_displaced.push_back(displaced);
     return Verdict::Wait;
 }
 
-int CallerRequestMemory::worthOf(const RequestHead& head) const
+const RouteConfig* CallerRequestMemory::routeOf(const RequestHead& head) const
 {
-    const RouteConfig* route = m_state.config
+    return m_state.config
         ? m_state.config->findRoute(head.fields.find("Host").value_or(""), pathOf(head.target))
         : nullptr;
-    return route ? route->priority : 0;
 }
 
 void CallerRequestMemory::passOn(CallerConnection& connection, const Body& body, std::size_t left)
@@ -121,21 +149,38 @@
         m_waiting.erase(requests.waitId);
     }
     setShort(connection, left);
-    requests = { left, 0, nullptr, 0 };
+    requests = {};
+    requests.inShort = left;
 }
 
-void CallerRequestMemory::checkStalled(CallerConnection& connection, Instant now)
+void CallerRequestMemory::checkProgress(CallerConnection& connection, Instant now)
 {
     CallerRequestBytes& requests = connection.requests;
-    if (!requests.reservation || requests.waitId != 0 || now - connection.lastReceivedAt < stallTime)
+    const Duration elapsed = now - requests.admittedAt;
+    if (!requests.reservation || requests.isBehind || requests.waitId != 0 || elapsed < stallTime)
         return;
+    const auto announced = static_cast<double>(connection.parser->announcedBodyBytes().value_or(0));
+    const bool isStalled = now - connection.lastReceivedAt >= stallTime;
+    const bool isLate = requests.deadline
+        && static_cast<double>(requests.inLong) * toSeconds(*requests.deadline - requests.admittedAt)
+            < announced * toSeconds(elapsed);
+    if (!isStalled && !isLate)
+        return;
+    requests.isBehind = true;
     requests.reservation->resize(requests.inLong);
 }
 
-std::vector<CallerConnectionPtr> CallerRequestMemory::admitWaiting()
+bool CallerRequestMemory::isOverdue(const CallerConnection& connection, Instant now)
+{
+    const CallerRequestBytes& requests = connection.requests;
+    return requests.reservation && requests.deadline && now > *requests.deadline;
+}
+
+std::vector<CallerConnectionPtr> CallerRequestMemory::admitWaiting(Instant now)
 {
-    return removeWaiting(m_queue.admit(
-        [this](const LongRequest& request) { return take(*m_waiting.at(request.id), request.bytes); }));
+    return removeWaiting(m_queue.admit([this, now](const LongRequest& request) {
+        return take(*m_waiting.at(request.id), request.bytes, now);
+    }));
 }
 
 std::vector<CallerConnectionPtr> CallerRequestMemory::expireWaiting(Instant now)
--- a/src/transport/CallerRequestMemory.h
+++ b/src/transport/CallerRequestMemory.h
@@ -33,20 +33,23 @@
     void passOn(CallerConnection&, const Body&, std::size_t left);
     /// Frees the memory of the connection's requests but for `left` bytes of the next ones.
     void release(CallerConnection&, std::size_t left);
-    /// Frees what is reserved for a request that has stopped arriving, but for what it has.
-    void checkStalled(CallerConnection&, Instant now);
+    /// From then on a request that arrives too slowly for its deadline, or not at all, has memory only for
+    /// what has arrived.
+    void checkProgress(CallerConnection&, Instant now);
+    /// Whether the deadline of the long request that is being read has passed.
+    static bool isOverdue(const CallerConnection&, Instant now);
 
     bool hasWaiting() const { return !m_queue.empty(); }
     /// Returns the connections that may be read now.
-    std::vector<CallerConnectionPtr> admitWaiting();
+    std::vector<CallerConnectionPtr> admitWaiting(Instant now);
     /// Returns the connections whose requests are to be refused.
     std::vector<CallerConnectionPtr> expireWaiting(Instant now);
 
 private:
-    std::size_t bytesNeeded(const CallerConnection&) const;
-    bool take(CallerConnection&, std::size_t bytes);
-    Verdict wait(const CallerConnectionPtr&, std::size_t bytes, Instant now);
-    int worthOf(const RequestHead&) const;
+    static std::size_t bytesNeeded(const CallerConnection&);
+    bool take(CallerConnection&, std::size_t bytes, Instant now);
+    Verdict wait(const CallerConnectionPtr&, const RouteConfig*, std::size_t bytes, Instant now);
+    const RouteConfig* routeOf(const RequestHead&) const;
     void setShort(CallerConnection&, std::size_t bytes);
     std::vector<CallerConnectionPtr> removeWaiting(const std::vector<std::uint64_t>& ids);
 
--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -168,7 +168,11 @@
         retriesWaiting = false;
         for (const ConnectionPtr& connection : requestMemory.expireWaiting(now))
             refuseForMemory(connection);
-        for (const ConnectionPtr& connection : requestMemory.admitWaiting()) {
+        for (const ConnectionPtr& connection : requestMemory.admitWaiting(now)) {
+            if (connection->stream->hasPeerEnded()) {
+                drop(connection); // not seen before, as the connection was not read
+                continue;
+            }
             connection->lastReceivedAt = now;
             sendContinue(*connection);
             connection->stream->resumeReading();
@@ -185,17 +189,20 @@
         connection->serving = true;
         connection->keepAlive = request.head.keepAlive;
         connection->isHeadRequest = request.head.method == "HEAD";
-        connection->callerDeadline = monotonicNow()
+        const Duration readingTime = monotonicNow() - connection->phaseStartedAt;
+        connection->callerDeadline = connection->phaseStartedAt
             + readCallerDeadline(request.head.fields, state.adapter.fieldNames().deadline)
                   .value_or(Duration::zero());
-        const CallId call = entry.begin(std::move(request),
+        const CallId call = entry.begin(
+            std::move(request),
             [weak = weak_from_this(), weakConnection = std::weak_ptr<Connection>(connection)](
                 HttpResponse response) {
                 const auto self = weak.lock();
                 const auto locked = weakConnection.lock();
                 if (self && locked)
                     self->respond(locked, std::move(response));
-            });
+            },
+            readingTime);
         if (connection->serving)
             connection->call = call;
     }
@@ -375,8 +382,9 @@
         m_internals->checkReading(connection, now);
         if (connection->serving || !m_internals->connections.contains(connection))
             continue;
-        m_internals->requestMemory.checkStalled(*connection, now);
         const bool reading = connection->parser.has_value();
+        if (reading)
+            m_internals->requestMemory.checkProgress(*connection, now);
         const bool writing = connection->awaitsAcknowledgement;
         const Duration age = now - connection->phaseStartedAt;
         const bool isIdleTooLong = !reading && !writing && age > limits.idleTimeout + idleTimeoutMargin;
@@ -386,6 +394,10 @@
             m_internals->refuse(connection,
                 notRunRefusal(
                     ResultCode::SenderTooSlow, "the header did not arrive before the header timeout"));
+        else if (reading && CallerRequestMemory::isOverdue(*connection, now))
+            m_internals->refuse(connection,
+                notRunRefusal(
+                    ResultCode::SenderTooSlow, "the body did not arrive before the caller's deadline"));
         else if (reading && now - connection->lastReceivedAt > stallTimeout)
             m_internals->refuse(
                 connection, notRunRefusal(ResultCode::SenderTooSlow, "no byte of the body arrived for 10 s"));
--- a/src/transport/EntryCall.h
+++ b/src/transport/EntryCall.h
@@ -30,7 +30,8 @@
     bool isNested { false }; ///< made by the upstream beside this node
     bool isCallerRetry { false }; ///< seems to be sent again after a refusal with Retry-After
     std::string requestId; ///< set by the caller
-    Instant receivedAt;
+    Instant receivedAt; ///< its start
+    Instant readAt; ///< when it was complete
     Instant deadline; ///< the earlier of the caller's deadline and the route's timeout
     std::vector<VmId> triedVms; ///< not selected again
     std::vector<VmId> rejectingVms; ///< their upstreams rejected the request without running it
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -93,11 +93,12 @@
 
     // Preparing a call.
 
-    CallId begin(HttpRequest request, Respond respond)
+    CallId begin(HttpRequest request, Respond respond, Duration readingTime)
     {
         auto call = std::make_shared<Call>();
         call->id = nextCallId++;
-        call->receivedAt = state.now();
+        call->readAt = state.now();
+        call->receivedAt = call->readAt - readingTime;
         call->request = std::move(request);
         call->respond = std::move(respond);
         call->requestId = call->request.head.fields.find(names().requestId).value_or("");
@@ -401,7 +402,7 @@
 
     void waitForVm(const CallPtr& call, Instant now)
     {
-        const bool mayWait = call->triedVms.empty() && now - call->receivedAt < maxVmWait;
+        const bool mayWait = call->triedVms.empty() && now - call->readAt < maxVmWait;
         if (!mayWait)
             return failCall(call,
                 call->triedVms.empty() ? "no VM of the service is reachable"
@@ -788,9 +789,9 @@
 
 EntryService::~EntryService() = default;
 
-CallId EntryService::begin(HttpRequest request, Respond respond)
+CallId EntryService::begin(HttpRequest request, Respond respond, Duration readingTime)
 {
-    return m_internals->begin(std::move(request), std::move(respond));
+    return m_internals->begin(std::move(request), std::move(respond), readingTime);
 }
 
 void EntryService::cancel(CallId id) { m_internals->cancel(id); }
--- a/src/transport/EntryService.h
+++ b/src/transport/EntryService.h
@@ -21,9 +21,9 @@
     EntryService(SidecarState&, NodeTransport&, std::uint64_t seed);
     ~EntryService();
 
-    /// Starts a call for a caller's request. `respond` is called once, possibly before `begin` returns, and
-    /// not after `cancel`.
-    CallId begin(HttpRequest, Respond respond);
+    /// Starts a call for a caller's request, which took `readingTime` to read: its time runs since its start.
+    /// `respond` is called once, possibly before `begin` returns, and not after `cancel`.
+    CallId begin(HttpRequest, Respond respond, Duration readingTime = Duration::zero());
     /// Ends the call without a response: the caller has disconnected.
     void cancel(CallId);
 
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -507,7 +507,9 @@
         job->response = response;
         job->retention = ++lastRetention;
         retainedJobs[job->retention] = job;
-        dropResponses(retained.add(job->retention, response.body.size()));
+        const auto dropped = retained.add(job->retention, response.body.size());
+        state.counters.retainedResponsesDropped += dropped.size();
+        dropResponses(dropped);
         state.timers.at(state.now() + responseRetention, [weak = weak_from_this(), job](Instant) {
             const auto self = weak.lock();
             if (!self)
--- a/test/correctness/CallerResourcesAreBounded.cpp
+++ b/test/correctness/CallerResourcesAreBounded.cpp
@@ -17,17 +17,30 @@
 
 struct CallerServerFixture {
     explicit CallerServerFixture(std::uint32_t descriptors, std::uint32_t memoryMegabytes)
-        : server(stateWith(descriptors, memoryMegabytes), entry.entry)
+        : entry(settingsWith(descriptors, memoryMegabytes))
+        , server(entry.state, entry.entry)
     {
     }
 
-    SidecarState& stateWith(std::uint32_t descriptors, std::uint32_t memoryMegabytes)
+    static SidecarSettings settingsWith(std::uint32_t descriptors, std::uint32_t memoryMegabytes)
     {
-        entry.state.settings.descriptors = descriptors;
-        entry.state.settings.memoryMegabytes = memoryMegabytes;
-        return entry.state;
+        SidecarSettings settings = makeSidecarSettings();
+        settings.descriptors = descriptors;
+        settings.memoryMegabytes = memoryMegabytes;
+        return settings;
     }
 
+    /// Begins a request with a body of `announced` bytes, of which it sends `sent`.
+    void post(ByteStream& stream, const std::string& path, const std::string& id, std::size_t announced,
+        std::size_t sent, std::chrono::milliseconds left = 20s)
+    {
+        stream.write("POST " + path + " HTTP/1.1\r\nHost: example\r\nX-Id: " + id + "\r\nX-Left: "
+            + std::to_string(left.count()) + "\r\nAuthorization: Bearer k\r\nContent-Length: "
+            + std::to_string(announced) + "\r\n\r\n" + std::string(sent, 'x'));
+    }
+
+    std::size_t sentCount() const { return entry.transport.sent.size(); }
+
     /// Opens a connection as a caller. Bytes received on it are appended to `received`.
     std::shared_ptr<ByteStream> connect()
     {
@@ -130,30 +143,34 @@
 }
 
 // Guards against requests of other callers being refused or lost beside long ones.
-TEST_CASE(
-    "a long request without memory waits unread while short ones go on, and is served when there is some")
+TEST_CASE("a long request without memory waits unread while short ones go on, and is served if there is some")
 {
+    constexpr std::size_t bodyBytes = 600'000;
     CallerServerFixture fixture(100, 100);
+    ServingConfig config = makeServingConfig();
+    config.routes[1].timeout = 10s; // of the orders
+    fixture.entry.state.config = std::make_shared<const ServingIndex>(config);
     MemoryAdmission& memory = fixture.entry.state.memory;
     std::optional<MemoryBudget::Reservation> others(memory.budget());
     others->resize(memory.limit() / 2);
     const auto stream = fixture.connect();
-    const std::string head = " /read/1 HTTP/1.1\r\nHost: example\r\nX-Id: 1\r\nX-Left: 20000\r\n"
-                             "Authorization: Bearer k\r\n";
-    stream->write("POST" + head + "Content-Length: 600000\r\n\r\n" + std::string(600'000, 'x'));
+    fixture.post(*stream, "/order/1", "1", bodyBytes, bodyBytes);
     const auto shortStream = fixture.connect();
-    shortStream->write("GET" + head + "\r\n");
-    CHECK(fixture.runUntil([&] { return fixture.entry.transport.sent.size() == 1; }));
+    fixture.post(*shortStream, "/read/1", "2", 0, 0);
+    CHECK(fixture.runUntil([&] { return fixture.sentCount() == 1; }));
     CHECK(fixture.entry.transport.sent[0].request.body.empty());
-    CHECK_FALSE(fixture.runUntil([&] { return fixture.entry.transport.sent.size() == 2; }));
+    CHECK_FALSE(fixture.runUntil([&] { return fixture.sentCount() == 2; }));
     SUBCASE("memory is released in time")
     {
         others.reset();
         fixture.entry.state.timers.advance(monotonicNow());
-        REQUIRE(fixture.runUntil([&] { return fixture.entry.transport.sent.size() == 2; }));
-        CHECK(fixture.entry.transport.sent[1].request.body.size() == 600'000);
-        CHECK(memory.budget().heldBytes() >= 600'000);
-        CHECK(memory.budget().heldBytes() < 700'000); // once, though the call and the hop request have it
+        REQUIRE(fixture.runUntil([&] { return fixture.sentCount() == 2; }));
+        const HopRequest& request = fixture.entry.transport.sent[1].request;
+        CHECK(request.body.size() == bodyBytes);
+        CHECK(request.remainingTime < 9500ms); // its time ran while it waited
+        CHECK(memory.budget().heldBytes() >= bodyBytes);
+        CHECK(memory.budget().heldBytes()
+            < bodyBytes + 1000); // once, though the call and the hop request have it
         fixture.entry.respond(HopOutcome::Responded);
         fixture.entry.transport.sent.clear();
         CHECK(memory.budget().heldBytes() < 1000);
@@ -165,22 +182,79 @@
         CHECK(fixture.received.find("HTTP/1.1 503") != std::string::npos);
         CHECK(memory.refusals(MemoryUse::CallerRequest) == 1);
     }
+    SUBCASE("the caller leaves while it waits")
+    {
+        stream->close();
+        others.reset();
+        fixture.runUntil([] { return false; });
+        fixture.entry.state.timers.advance(monotonicNow());
+        fixture.runUntil([] { return false; });
+        CHECK(fixture.sentCount() == 1);
+        CHECK(fixture.server.connectionCount() == 1);
+    }
 }
 
-// Guards against callers that announce a long body and don't send it.
-TEST_CASE("an announced length takes memory only while the body arrives")
+// Guards against the least worthy long request being served first.
+TEST_CASE("of long requests that wait the one of the most worthy route is read first, and no other before it")
+{
+    constexpr std::size_t bodyBytes = 20U << 20;
+    CallerServerFixture fixture(100, 100); // memory for one of them
+    ServingConfig config = makeServingConfig();
+    config.limits.bodyBytes = bodyBytes;
+    config.routes[0].priority = 3;
+    config.routes[1].priority = 0;
+    fixture.entry.state.config = std::make_shared<const ServingIndex>(config);
+    MemoryAdmission& memory = fixture.entry.state.memory;
+    std::optional<MemoryBudget::Reservation> others(memory.budget());
+    others->resize(memory.limit() / 2 - (5U << 20));
+    const auto lessWorthy = fixture.connect();
+    fixture.post(*lessWorthy, "/read/1", "1", bodyBytes, 0);
+    const auto mostWorthy = fixture.connect();
+    fixture.post(*mostWorthy, "/order/1", "2", bodyBytes, 0);
+    const auto shorter = fixture.connect();
+    fixture.runUntil([&] { return fixture.server.busyCount() == 2; });
+    fixture.post(*shorter, "/read/1", "3", 2U << 20, 0);
+    fixture.runUntil([&] { return fixture.server.busyCount() == 3; });
+    CHECK(memory.budget().heldBytes() < memory.limit() / 2 - (4U << 20)); // none of them is read
+    others.reset();
+    fixture.entry.state.timers.advance(monotonicNow() + 50ms);
+    CHECK(memory.budget().heldBytes() >= bodyBytes);
+    mostWorthy->write(std::string(bodyBytes, 'x'));
+    REQUIRE(fixture.runUntil([&] { return fixture.sentCount() == 1; }));
+    CHECK(fixture.entry.transport.sent[0].request.route == RouteId { "order" });
+}
+
+// Guards against callers that announce a long body and don't send it, or trickle it.
+TEST_CASE("an announced length takes memory only while the body arrives in time")
 {
     CallerServerFixture fixture(100, 100);
     const MemoryBudget& budget = fixture.entry.state.memory.budget();
     const auto stream = fixture.connect();
-    stream->write("POST /read/1 HTTP/1.1\r\nHost: example\r\nContent-Length: 600000\r\n\r\nstart");
+    fixture.post(*stream, "/read/1", "1", 600'000, 5, 4s);
     CHECK(fixture.runUntil([&] { return budget.heldBytes() == 600'000; }));
-    fixture.server.tick(monotonicNow() + 2s);
+    const Instant start = monotonicNow();
+    fixture.server.tick(start + 900ms);
+    CHECK(budget.heldBytes() == 600'000);
+    fixture.server.tick(start + 1500ms);
     CHECK(budget.heldBytes() < 1000);
     stream->write("more");
-    CHECK(fixture.runUntil([&] { return budget.heldBytes() == 600'000; }));
-    stream->close();
-    CHECK(fixture.runUntil([&] { return budget.heldBytes() == 0; }));
+    fixture.runUntil([] { return false; });
+    CHECK(budget.heldBytes() < 1000);
+    fixture.server.tick(start + 4500ms);
+    CHECK(fixture.runUntil([&] { return fixture.ended == 1; }));
+    CHECK(fixture.received.find("Ebony-Result: 705") != std::string::npos);
+    CHECK(fixture.entry.transport.sent.empty());
+    CHECK(budget.heldBytes() == 0);
+}
+
+// Guards against an upstream being given the time that reading a request has taken.
+TEST_CASE("the time that a request takes to arrive is part of its caller's time")
+{
+    EntryServiceFixture fixture;
+    fixture.entry.begin(
+        makeCallerRequest("/read/1", "1"), [](const HttpResponse&) {}, 150ms);
+    REQUIRE(fixture.transport.sent.size() == 1);
+    CHECK(fixture.transport.sent[0].request.remainingTime <= 150ms);
 }
 
 TEST_CASE("callers that keep sending while their requests are served hold no more memory than others")
--- a/test/correctness/LinksEndWithTheirPeers.cpp
+++ b/test/correctness/LinksEndWithTheirPeers.cpp
@@ -22,7 +22,8 @@
         accepted->start(
             [&](std::string_view bytes) { received += bytes.size(); }, [&](StreamEnd) { hasEnded = true; });
     });
-    PeerLinks links(io, log, events, { { "127.0.0.1" }, 9 }, acceptor.port(), 1 << 20);
+    MemoryAdmission admission(1 << 20);
+    PeerLinks links(io, log, events, { { "127.0.0.1" }, 9 }, acceptor.port(), admission);
     links.setPeers({ peer });
     links.tick(monotonicNow());
     REQUIRE(runUntil(io, [&] { return received > 0; }));
--- a/test/support/SidecarFixtures.h
+++ b/test/support/SidecarFixtures.h
@@ -110,7 +110,8 @@
 
 /// An entry service with two upstreams of "registry" on other VMs.
 struct EntryServiceFixture {
-    EntryServiceFixture()
+    explicit EntryServiceFixture(const SidecarSettings& settings = makeSidecarSettings())
+        : state(io, settings, adapter, 1)
     {
         state.clock = [this] { return now; };
         state.config = std::make_shared<const ServingIndex>(makeServingConfig());
@@ -151,7 +152,7 @@
     Instant now { std::chrono::seconds(1000) };
     boost::asio::io_context io;
     SimplePlatformAdapter adapter;
-    SidecarState state { io, makeSidecarSettings(), adapter, 1 };
+    SidecarState state;
     RecordingNodeTransport transport;
     EntryService entry { state, transport, 1 };
     std::vector<HttpResponse> responses;
