--- a/test/performance/LongBodies.cpp
+++ b/test/performance/LongBodies.cpp
@@ -5,6 +5,9 @@
 // refusal as not run. A short request goes through the same nodes every 20 ms and must not be lost.
 #include "process/ChildProcess.h"
 #include "soak/FakeStore.h"
+#include "transport/ByteStream.h"
+#include "transport/HttpCodec.h"
+#include "transport/StreamAcceptor.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdio>
--- a/test/soak/FakeUpstream.cpp
+++ b/test/soak/FakeUpstream.cpp
@@ -182,7 +182,7 @@
         return;
     }
     checkFields(request, id);
-    if (!request.body.empty() && !isWholeContent(request.body, id))
+    if (!request.body.empty() && !isWholeContent(request.body.view(), id))
         m_surroundings.observations.violations.push_back("the body of request " + id + " was changed");
     if (m_isRejecting && m_random.below(3) == 0) {
         respond(fakeResponse(503, "", "Ebonystack-Attempt-Id: " + id + "\r\nEbonystack-Not-Executed: 1\r\n"));
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -192,7 +192,7 @@
         if (response.head.status != 200)
             return;
         const bool isWhole
-            = m_sent[id].hasContent ? isWholeContent(response.body, id) : response.body == "ok:" + id;
+            = m_sent[id].hasContent ? isWholeContent(response.body.view(), id) : response.body == "ok:" + id;
         if (!response.head.fields.find("Ebonystack-Server-Seal") || !isWhole)
             violations().push_back("response without a seal or with a wrong body to " + id + ", "
                 + std::to_string(response.body.size()) + " bytes");
