A pause for memory is no silence of the peer, and ends with its response

Found by review, nothing seen by callers. A link that is not read for want of memory counted as silent when the process stood still meanwhile, though everything had arrived.

Reading anew counts as news of the peer, and each response has its own pause.

LinksRejectUnboundedFrames, "each response without memory has a pause of its own": before, the second was discarded, "CHECK( false )".

--- a/src/transport/PeerLinks.cpp
+++ b/src/transport/PeerLinks.cpp
@@ -150,9 +150,10 @@
         const auto stream = link->stream;
         while (link->stream == stream) {
             auto next = link->input.next(link->up ? localHello.frameLimit : maxHelloBytes);
-            if (auto* frame = std::get_if<PeerFrame>(&next))
+            if (auto* frame = std::get_if<PeerFrame>(&next)) {
+                endPause(link);
                 onOutgoingFrame(link, std::move(*frame));
-            else if (const auto* invalid = std::get_if<LinkInput::Invalid>(&next))
+            } else if (const auto* invalid = std::get_if<LinkInput::Invalid>(&next))
                 return disconnect(link, invalid->problem);
             else if (const auto* refused = std::get_if<LinkInput::Refused>(&next)) {
                 if (!onFrameRefused(link, *refused))
@@ -177,7 +178,7 @@
             link->stream->pauseReading();
             return false;
         }
-        resumeReading(link);
+        endPause(link);
         admission.recordRefusal(MemoryUse::Response);
         link->input.skip();
         log.failure("no memory for a response", "", now, [&] {
@@ -188,9 +189,13 @@
         return true;
     }
 
-    static void resumeReading(const OutgoingLinkPtr& link)
+    /// The bytes that arrived during the pause are read next: the peer wasn't silent.
+    static void endPause(const OutgoingLinkPtr& link)
     {
+        if (!link->pausedAt)
+            return;
         link->pausedAt.reset();
+        link->lastReceivedAt = monotonicNow();
         link->stream->resumeReading();
     }
 
@@ -199,11 +204,9 @@
     {
         if (!link->pausedAt)
             return;
-        const auto stream = link->stream;
-        const Instant since = *link->pausedAt;
         readOutgoing(link);
-        if (link->stream == stream && link->pausedAt == since && !link->input.isRefused())
-            resumeReading(link);
+        if (link->stream && !link->input.isRefused())
+            endPause(link);
     }
 
     void onOutgoingFrame(const OutgoingLinkPtr& link, PeerFrame frame)
@@ -264,7 +267,7 @@
         for (const auto& [vm, link] : links) {
             if (link->stream)
                 retryPaused(link);
-            if (link->stream && now - link->lastReceivedAt > period + silenceTimeout)
+            if (link->stream && !link->pausedAt && now - link->lastReceivedAt > period + silenceTimeout)
                 disconnect(link, "silent");
             else if (link->up && now - link->lastHeartbeatAt >= period)
                 sendHeartbeat(link, now);
--- a/test/correctness/LinksRejectUnboundedFrames.cpp
+++ b/test/correctness/LinksRejectUnboundedFrames.cpp
@@ -121,6 +121,45 @@
     CHECK(entry.isUp(upstream));
 }
 
+// Guards against a second response being given up early, for the pause of the one before.
+TEST_CASE("each response without memory has a pause of its own, which is no silence of the peer")
+{
+    LinksFixture fixture(maxInputBytes);
+    CountingEvents events;
+    MemoryAdmission admission(maxInputBytes);
+    PeerLinks entry { fixture.io, fixture.log, events, { { "127.0.0.2" }, 5 }, fixture.acceptor.port(),
+        admission };
+    const VmId upstream { "127.0.0.1" };
+    entry.setPeers({ upstream });
+    entry.tick(monotonicNow());
+    REQUIRE(Testing::runUntil(fixture.io, [&] { return entry.isUp(upstream); }));
+    MemoryBudget::Reservation others(admission.budget());
+    others.resize(maxInputBytes);
+    HopResponse response;
+    response.body = std::string(20'000, 'x');
+    for (response.number = 1; response.number <= 2; ++response.number)
+        fixture.links.reply({ { "127.0.0.2" }, 5 }, response);
+    const auto runFor = [&](std::chrono::milliseconds time, bool ticks) {
+        const Instant until = monotonicNow() + time;
+        Testing::runUntil(fixture.io, [&] {
+            if (ticks)
+                entry.tick(monotonicNow());
+            return monotonicNow() > until;
+        });
+    };
+    runFor(std::chrono::milliseconds(200), true);
+    others.resize(maxInputBytes - 30'000); // room for one
+    runFor(std::chrono::milliseconds(200), true);
+    CHECK(events.responses.size() == 1);
+    CHECK(events.discarded.empty());
+    runFor(std::chrono::milliseconds(2000), false); // the node stands still
+    others.resize(0);
+    entry.tick(monotonicNow());
+    CHECK(Testing::runUntil(fixture.io, [&] { return events.responses.size() == 2; }));
+    CHECK(events.discarded.empty());
+    CHECK(entry.isUp(upstream));
+}
+
 // Guards against links, and the requests on them, being lost at full memory with the news of the store.
 TEST_CASE("control frames are received while there is no memory for requests and responses")
 {
