--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -93,11 +93,12 @@
 
     // Preparing a call.
 
-    CallId begin(HttpRequest request, Respond respond)
+    CallId begin(HttpRequest request, Respond respond, Duration readingTime)
     {
         auto call = std::make_shared<Call>();
         call->id = nextCallId++;
-        call->receivedAt = state.now();
+        call->readAt = state.now();
+        call->receivedAt = call->readAt - readingTime;
         call->request = std::move(request);
         call->respond = std::move(respond);
         call->requestId = call->request.head.fields.find(names().requestId).value_or("");
@@ -401,7 +402,7 @@
 
     void waitForVm(const CallPtr& call, Instant now)
     {
-        const bool mayWait = call->triedVms.empty() && now - call->receivedAt < maxVmWait;
+        const bool mayWait = call->triedVms.empty() && now - call->readAt < maxVmWait;
         if (!mayWait)
             return failCall(call,
                 call->triedVms.empty() ? "no VM of the service is reachable"
@@ -716,6 +717,14 @@
         transport.sendResume(vm, { hopNumbers, process });
     }
 
+    void onResponseDiscarded(const VmId& vm, std::uint64_t number)
+    {
+        const auto found = callsByHop.find(number);
+        const CallPtr call = found == callsByHop.end() ? nullptr : find(found->second);
+        if (call)
+            abandonHop(call, vm, "there was no memory for the response");
+    }
+
     void abandonHop(const CallPtr& call, const VmId& vm, std::string_view reason)
     {
         callsByHop.erase(call->hopNumber);
@@ -780,9 +789,9 @@
 
 EntryService::~EntryService() = default;
 
-CallId EntryService::begin(HttpRequest request, Respond respond)
+CallId EntryService::begin(HttpRequest request, Respond respond, Duration readingTime)
 {
-    return m_internals->begin(std::move(request), std::move(respond));
+    return m_internals->begin(std::move(request), std::move(respond), readingTime);
 }
 
 void EntryService::cancel(CallId id) { m_internals->cancel(id); }
@@ -792,6 +801,11 @@
     m_internals->onResponse(vm, std::move(response));
 }
 
+void EntryService::onResponseDiscarded(const VmId& vm, std::uint64_t number)
+{
+    m_internals->onResponseDiscarded(vm, number);
+}
+
 void EntryService::onLinkUp(const VmId& vm, std::uint64_t process) { m_internals->onLinkUp(vm, process); }
 
 void EntryService::onLinkDown(const VmId& vm) { m_internals->onLinkDown(vm); }
--- a/src/transport/EntryService.h
+++ b/src/transport/EntryService.h
@@ -21,14 +21,16 @@
     EntryService(SidecarState&, NodeTransport&, std::uint64_t seed);
     ~EntryService();
 
-    /// Starts a call for a caller's request. `respond` is called once, possibly before `begin` returns, and
-    /// not after `cancel`.
-    CallId begin(HttpRequest, Respond respond);
+    /// Starts a call for a caller's request, which took `readingTime` to read: its time runs since its start.
+    /// `respond` is called once, possibly before `begin` returns, and not after `cancel`.
+    CallId begin(HttpRequest, Respond respond, Duration readingTime = Duration::zero());
     /// Ends the call without a response: the caller has disconnected.
     void cancel(CallId);
 
     /// Takes the response of a VM's node to a hop request.
     void onResponse(const VmId&, HopResponse);
+    /// A node's response to a request was not received.
+    void onResponseDiscarded(const VmId&, std::uint64_t number);
     /// `process`: the incarnation of the node process that the link leads to. Requests that were sent to an
     /// earlier one may have run there.
     void onLinkUp(const VmId&, std::uint64_t process);
