--- /dev/null
+++ b/review/stand_ins_2.py
@@ -0,0 +1,233 @@
+"""Stand-ins of the cases 6 to 10 for the platform's store, application servers and clients, and the start of nodes.
+
+They speak what PROTOCOL.md says and listen on loopback addresses only. Times are in seconds unless a name says otherwise.
+"""
+import base64
+import http.client
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+STARTED_AT = time.monotonic()
+ATTEMPT, SEAL, DEADLINE = 'Ebonystack-Attempt-Id', 'Ebonystack-Server-Seal', 'Ebonystack-Deadline-Ms'
+TENANT, INSTANCE, EXPECTED = 'Ebonystack-Tenant', 'Ebonystack-Instance-Id', 'Ebonystack-Expect-Instance'
+HOST = 'mesh.example'
+SERVICE, ZONE = 'svc1', 'zone-a'
+SERVER_PORT, OUTBOUND_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 8547, 8548, 8546, 7000, 9464
+MEMORY_MB, DESCRIPTORS = 260, 4100  # of a machine of girthline-eu
+HEARTBEAT_S, HEARTBEATS_TO_LAPSE = 1.5, 3
+
+
+def now():
+    return time.monotonic() - STARTED_AT
+
+
+def troubled():
+    return os.environ.get('TROUBLE', '1') != '0'
+
+
+class Record:
+    """What was sent, answered and run, one line an event."""
+
+    def __init__(self, folder):
+        self._file, self._lock = open(pathlib.Path(folder) / 'record.txt', 'w'), threading.Lock()
+
+    def add(self, event, **fields):
+        line = f'{now():8.3f} {event} ' + ' '.join(f'{name}={value}' for name, value in fields.items())
+        with self._lock:
+            print(line, file=self._file, flush=True)
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 512
+
+    def handle_error(self, request, client_address):
+        pass  # the other side has closed the connection
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+    disable_nagle_algorithm = True
+
+    def log_message(self, *arguments):
+        pass
+
+    def reply(self, status, body=b'', **fields):
+        self.send_response_only(status)
+        for name, value in fields.items():
+            self.send_header(name.replace('_', '-'), value)
+        self.send_header('Content-Length', str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def _serve(handler, ip, port, owner):
+    server = _Server((ip, port), handler)
+    server.owner = owner
+    threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True).start()
+    return server
+
+
+class Store:
+    """Keys with revisions, a list, and watches."""
+
+    def __init__(self, ip):
+        self.items, self.events, self.revision, self.changed = {}, [], 0, threading.Condition()
+        server = _serve(_StoreHandler, ip, 0, self)
+        self.address = '%s:%d' % server.server_address
+
+    def put(self, key, value):
+        with self.changed:
+            self.revision += 1
+            self.items[key] = {'key': key, 'value': base64.b64encode(json.dumps(value).encode()).decode(),
+                               'revision': self.revision, 'created': self.revision, 'lease': 0}
+            self.events.append(self.items[key])
+            self.changed.notify_all()
+
+    def remove(self, key):
+        with self.changed:
+            self.revision += 1
+            self.items.pop(key)
+            self.events.append({'key': key, 'revision': self.revision, 'tombstone': True})
+            self.changed.notify_all()
+
+
+class _StoreHandler(_Handler):
+    def do_GET(self):
+        store, url = self.server.owner, urlsplit(self.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        with store.changed:
+            answer = {'current_rev': store.revision}
+            if url.path == '/kv-range':
+                answer |= {'items': [store.items[key] for key in sorted(store.items)], 'has_more': False}
+            elif url.path == '/kv-watch':
+                after, until = int(query['after']), time.monotonic() + int(query['wait_ms']) / 1000
+                while store.revision <= after and time.monotonic() < until:
+                    store.changed.wait(until - time.monotonic())
+                answer = {'events': [e for e in store.events if e['revision'] > after], 'current_rev': store.revision}
+        self.reply(404 if url.path == '/kv-key' else 200, json.dumps(answer).encode(), Content_Type='application/json')
+
+
+class AppServer:
+    """An application server. It runs every request that is meant for it, and answers at once."""
+
+    def __init__(self, ip, store, record, slots):
+        self.ip, self.store, self.record, self.slots = ip, store, record, slots
+        self.id = 'i-' + ip.replace('.', '-')
+        self.key = 'servers/' + self.id
+        _serve(_AppHandler, ip, SERVER_PORT, self)
+        store.put(self.key, {'address': f'{ip}:{SERVER_PORT}',
+                             'info': {'service': SERVICE, 'version': 'v1', 'zone': ZONE, 'slots': slots},
+                             'status': {'state': 'ready', 'sequence': 1, 'cold_left': '0ms'}})
+
+
+class _AppHandler(_Handler):
+    def do_GET(self):
+        server, fields = self.server.owner, self.headers
+        if fields.get(EXPECTED, server.id) != server.id:
+            return self.reply(421, Ebonystack_Instance_Id=server.id)
+        path, attempt = self.path, fields[ATTEMPT]
+        server.record.add('runs', attempt=attempt, server=server.id, tenant=fields.get(TENANT))
+        size = int(path.rsplit('/', 2)[-2])  # the path ends with the length of the answer
+        self.reply(200, b'x' * size, **{ATTEMPT: attempt, SEAL: f'seal-{attempt}'})
+
+
+def write_config(store, route, tenants):
+    """One route, for all paths under /pack/."""
+    store.put('op/config', {
+        'version': '00000007',
+        'routes': {'r-1': {'host': HOST, 'path_prefix': '/pack/', 'priority': 2, 'service': SERVICE, 'max_attempts': 2,
+                           'public': False} | route},
+        'services': {SERVICE: {'health_path': '/healthz', 'max_conns': 664, 'protocol': 'h1', 'tls': False}},
+        'limits': {'max_header_bytes': 16384, 'max_body_bytes': 67108864, 'header_timeout': '3000ms',
+                   'idle_timeout': '15000ms'},
+        'tenants': tenants})
+
+
+class Node:
+    """A process of the project, run as deploy/system.toml says, with the settings that its template makes."""
+
+    def __init__(self, folder, ip, store):
+        settings = pathlib.Path(folder) / f'{ip}.json'
+        settings.write_text(json.dumps({
+            'vm': ip, 'name': f'sidecar-{ip}', 'dataCentre': ZONE, 'service': SERVICE,
+            'upstreamAddress': f'{ip}:{SERVER_PORT}', 'callerAddress': f'{ip}:{OUTBOUND_PORT}',
+            'readinessAddress': f'{ip}:{READY_PORT}', 'peerPort': PEER_PORT, 'metricsPort': METRICS_PORT,
+            'storeAddress': store.address, 'memoryMegabytes': MEMORY_MB, 'descriptors': DESCRIPTORS, 'grace': '6s',
+            'drain': '2000ms', 'heartbeat': f'{HEARTBEAT_S}s', 'repeatRatio': 0.2, 'repeatWindow': '10s',
+            'extraRepeats': 50}))
+        self.ip = ip
+        with open(pathlib.Path(folder) / f'{ip}.log', 'w') as log:
+            self.process = subprocess.Popen(
+                ['target/ebony-sidecar'], cwd=ROOT, stdout=log, stderr=log,
+                env={'PATH': os.environ['PATH'], 'EBONYSTACK_SETTINGS': str(settings)})
+
+    def is_ready(self):
+        try:
+            connection = http.client.HTTPConnection(self.ip, READY_PORT, timeout=1)
+            connection.request('GET', '/readyz')
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+
+    def peak_memory_mb(self):
+        lines = pathlib.Path(f'/proc/{self.process.pid}/status').read_text().splitlines()
+        return next(int(line.split()[1]) // 1024 for line in lines if line.startswith('VmHWM:'))
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+
+def wait_until_ready(nodes, limit_s):
+    until = time.monotonic() + limit_s
+    while not all(node.is_ready() for node in nodes):
+        if time.monotonic() > until or any(node.process.poll() is not None for node in nodes):
+            return False
+        time.sleep(0.1)
+    return True
+
+
+class Connection:
+    """A client's connection, kept open between requests."""
+
+    def __init__(self, ip):
+        self._socket = socket.create_connection((ip, OUTBOUND_PORT), timeout=1)
+        self._socket.settimeout(10)
+
+    def send(self, path, attempt, key, deadline_ms):
+        self._socket.sendall((f'GET {path} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT}: {attempt}\r\n{DEADLINE}: {deadline_ms}\r\n'
+                              f'Authorization: Bearer {key}\r\n\r\n').encode())
+
+    def receive(self, bytes_per_s=None):
+        """Returns the status, the announced length and the length of what came. Without a rate it reads at once."""
+        head, begun_at, received = b'', time.monotonic(), 0
+        try:
+            while b'\r\n\r\n' not in head:
+                piece = self._socket.recv(16384)
+                if not piece:
+                    return 0, 0, 0
+                head += piece
+            head, _, rest = head.partition(b'\r\n\r\n')
+            lines = head.decode().split('\r\n')
+            length = next(int(line.split(':')[1]) for line in lines if line.lower().startswith('content-length:'))
+            received = len(rest)
+            while received < length:
+                if bytes_per_s:
+                    time.sleep(max(0.0, received / bytes_per_s - (time.monotonic() - begun_at)))
+                piece = self._socket.recv(16384)
+                if not piece:
+                    break
+                received += len(piece)
+        except OSError:  # reset
+            if b'\r\n\r\n' in head or not head:
+                return 0, 0, 0
+        return int(lines[0].split()[1]), length, received
