--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -123,11 +123,19 @@
         self.ip, self.store, self.record, self.slots = ip, store, record, slots
         self.id = 'i-' + ip.replace('.', '-')
         self.key = 'servers/' + self.id
-        _serve(_AppHandler, ip, SERVER_PORT, self)
+        self._server = _serve(_AppHandler, ip, SERVER_PORT, self)
         store.put(self.key, {'address': f'{ip}:{SERVER_PORT}',
                              'info': {'service': SERVICE, 'version': 'v1', 'zone': ZONE, 'slots': slots},
                              'status': {'state': 'ready', 'sequence': 1, 'cold_left': '0ms'}})
 
+    def lose(self):
+        """The machine is lost: the server ends, and its entry lapses after three heartbeats of silence."""
+        threading.Thread(target=self._server.shutdown, daemon=True).start()
+        self._server.socket.close()
+        lapse = threading.Timer(HEARTBEATS_TO_LAPSE * HEARTBEAT_S, self.store.remove, (self.key,))
+        lapse.daemon = True
+        lapse.start()
+
 
 class _AppHandler(_Handler):
     def do_GET(self):
