--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -117,10 +117,10 @@
 
 
 class AppServer:
-    """An application server. It runs every request that is meant for it, and answers at once."""
+    """An application server. It runs every request that is meant for it, and answers after `work_s`."""
 
-    def __init__(self, ip, store, record, slots):
-        self.ip, self.store, self.record, self.slots = ip, store, record, slots
+    def __init__(self, ip, store, record, slots, work_s=0.0):
+        self.ip, self.store, self.record, self.slots, self.work_s = ip, store, record, slots, work_s
         self.id = 'i-' + ip.replace('.', '-')
         self.key = 'servers/' + self.id
         self._server = _serve(_AppHandler, ip, SERVER_PORT, self)
@@ -144,6 +144,7 @@
             return self.reply(421, Ebonystack_Instance_Id=server.id)
         path, attempt = self.path, fields[ATTEMPT]
         server.record.add('runs', attempt=attempt, server=server.id, tenant=fields.get(TENANT))
+        time.sleep(server.work_s)
         size = int(path.rsplit('/', 2)[-2])  # the path ends with the length of the answer
         self.reply(200, b'x' * size, **{ATTEMPT: attempt, SEAL: f'seal-{attempt}'})
 
@@ -163,20 +164,26 @@
 class Node:
     """A process of the project, run as deploy/system.toml says, with the settings that its template makes."""
 
-    def __init__(self, folder, ip, store):
-        settings = pathlib.Path(folder) / f'{ip}.json'
-        settings.write_text(json.dumps({
-            'vm': ip, 'name': f'sidecar-{ip}', 'dataCentre': ZONE, 'service': SERVICE,
-            'upstreamAddress': f'{ip}:{SERVER_PORT}', 'callerAddress': f'{ip}:{OUTBOUND_PORT}',
-            'readinessAddress': f'{ip}:{READY_PORT}', 'peerPort': PEER_PORT, 'metricsPort': METRICS_PORT,
-            'storeAddress': store.address, 'memoryMegabytes': MEMORY_MB, 'descriptors': DESCRIPTORS, 'grace': '6s',
-            'drain': '2000ms', 'heartbeat': f'{HEARTBEAT_S}s', 'repeatRatio': 0.2, 'repeatWindow': '10s',
-            'extraRepeats': 50}))
-        self.ip = ip
+    def __init__(self, folder, ip, store, grace='6s'):
+        self.ip, self._store = ip, store
+        self._settings = pathlib.Path(folder) / f'{ip}.json'
+        self.write_settings(grace)
         with open(pathlib.Path(folder) / f'{ip}.log', 'w') as log:
             self.process = subprocess.Popen(
                 ['target/ebony-sidecar'], cwd=ROOT, stdout=log, stderr=log,
-                env={'PATH': os.environ['PATH'], 'EBONYSTACK_SETTINGS': str(settings)})
+                env={'PATH': os.environ['PATH'], 'EBONYSTACK_SETTINGS': str(self._settings)})
+
+    def write_settings(self, grace):
+        """Puts the file in its place as a whole."""
+        new = self._settings.with_suffix('.new')
+        new.write_text(json.dumps({
+            'vm': self.ip, 'name': f'sidecar-{self.ip}', 'dataCentre': ZONE, 'service': SERVICE,
+            'upstreamAddress': f'{self.ip}:{SERVER_PORT}', 'callerAddress': f'{self.ip}:{OUTBOUND_PORT}',
+            'readinessAddress': f'{self.ip}:{READY_PORT}', 'peerPort': PEER_PORT, 'metricsPort': METRICS_PORT,
+            'storeAddress': self._store.address, 'memoryMegabytes': MEMORY_MB, 'descriptors': DESCRIPTORS,
+            'grace': grace, 'drain': '2000ms', 'heartbeat': f'{HEARTBEAT_S}s', 'repeatRatio': 0.2,
+            'repeatWindow': '10s', 'extraRepeats': 50}))
+        new.replace(self._settings)
 
     def is_ready(self):
         try:
