Review case 6: endless answers take a node over its memory after ordinary orders

Cause: the memory accounts count what messages hold now. The heap that bodies under 256 KiB have left behind stays, and endless bodies come on top.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -7,10 +7,14 @@
 import json
 import os
 import pathlib
+import signal
 import socket
 import subprocess
+import sys
+import tempfile
 import threading
 import time
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
@@ -20,6 +24,7 @@
 TENANT, INSTANCE, EXPECTED = 'Ebonystack-Tenant', 'Ebonystack-Instance-Id', 'Ebonystack-Expect-Instance'
 HOST = 'mesh.example'
 SERVICE, ZONE = 'svc1', 'zone-a'
+ENDLESS_PATH = '/endless/'
 SERVER_PORT, OUTBOUND_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 8547, 8548, 8546, 7000, 9464
 MEMORY_MB, DESCRIPTORS = 260, 4100  # of a machine of girthline-eu
 HEARTBEAT_S, HEARTBEATS_TO_LAPSE = 1.5, 3
@@ -38,12 +43,18 @@
 
     def __init__(self, folder):
         self._file, self._lock = open(pathlib.Path(folder) / 'record.txt', 'w'), threading.Lock()
+        self._lines = []
 
     def add(self, event, **fields):
         line = f'{now():8.3f} {event} ' + ' '.join(f'{name}={value}' for name, value in fields.items())
         with self._lock:
+            self._lines.append(line)
             print(line, file=self._file, flush=True)
 
+    def has(self, text):
+        with self._lock:
+            return any(text in line for line in self._lines)
+
 
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
@@ -119,13 +130,13 @@
 class AppServer:
     """An application server. It runs every request that is meant for it, and answers after `work_s`."""
 
-    def __init__(self, ip, store, record, slots, work_s=0.0):
+    def __init__(self, ip, store, record, slots, work_s=0.0, service=SERVICE):
         self.ip, self.store, self.record, self.slots, self.work_s = ip, store, record, slots, work_s
         self.id = 'i-' + ip.replace('.', '-')
         self.key = 'servers/' + self.id
         self._server = _serve(_AppHandler, ip, SERVER_PORT, self)
         store.put(self.key, {'address': f'{ip}:{SERVER_PORT}',
-                             'info': {'service': SERVICE, 'version': 'v1', 'zone': ZONE, 'slots': slots},
+                             'info': {'service': service, 'version': 'v1', 'zone': ZONE, 'slots': slots},
                              'status': {'state': 'ready', 'sequence': 1, 'cold_left': '0ms'}})
 
     def lose(self):
@@ -143,19 +154,37 @@
         if fields.get(EXPECTED, server.id) != server.id:
             return self.reply(421, Ebonystack_Instance_Id=server.id)
         path, attempt = self.path, fields[ATTEMPT]
+        self.rfile.read(int(fields.get('Content-Length', 0)))
         server.record.add('runs', attempt=attempt, server=server.id, tenant=fields.get(TENANT))
+        if path.startswith(ENDLESS_PATH):
+            return self.answer_without_end(attempt)
         time.sleep(server.work_s)
         size = int(path.rsplit('/', 2)[-2])  # the path ends with the length of the answer
         self.reply(200, b'x' * size, **{ATTEMPT: attempt, SEAL: f'seal-{attempt}'})
 
+    do_POST = do_GET
+
+    def answer_without_end(self, attempt):
+        """A server in trouble: its body has no length and no end, until the caller closes."""
+        self.close_connection = True
+        self.send_response_only(200)
+        self.send_header(ATTEMPT, attempt)
+        self.send_header(SEAL, f'seal-{attempt}')
+        self.end_headers()
+        while True:
+            self.wfile.write(b'y' * 65536)
+
 
-def write_config(store, route, tenants):
-    """One route, for all paths under /pack/."""
+def write_config(store, route, tenants, more_routes=()):
+    """One route for all paths under /pack/, and what else is asked for."""
     store.put('op/config', {
         'version': '00000007',
         'routes': {'r-1': {'host': HOST, 'path_prefix': '/pack/', 'priority': 2, 'service': SERVICE, 'max_attempts': 2,
-                           'public': False} | route},
-        'services': {SERVICE: {'health_path': '/healthz', 'max_conns': 664, 'protocol': 'h1', 'tls': False}},
+                           'public': False} | route}
+        | {f'r-{2 + i}': {'host': HOST, 'priority': 2, 'max_attempts': 2, 'public': False} | more
+           for i, more in enumerate(more_routes)},
+        'services': {service: {'health_path': '/healthz', 'max_conns': 664, 'protocol': 'h1', 'tls': False}
+                     for service in {SERVICE} | {more['service'] for more in more_routes}},
         'limits': {'max_header_bytes': 16384, 'max_body_bytes': 67108864, 'header_timeout': '3000ms',
                    'idle_timeout': '15000ms'},
         'tenants': tenants})
@@ -164,8 +193,8 @@
 class Node:
     """A process of the project, run as deploy/system.toml says, with the settings that its template makes."""
 
-    def __init__(self, folder, ip, store, grace='6s'):
-        self.ip, self._store = ip, store
+    def __init__(self, folder, ip, store, grace='6s', service=SERVICE, memory_mb=MEMORY_MB):
+        self.ip, self._store, self._service, self._memory_mb = ip, store, service, memory_mb
         self._settings = pathlib.Path(folder) / f'{ip}.json'
         self.write_settings(grace)
         with open(pathlib.Path(folder) / f'{ip}.log', 'w') as log:
@@ -177,10 +206,10 @@
         """Puts the file in its place as a whole."""
         new = self._settings.with_suffix('.new')
         new.write_text(json.dumps({
-            'vm': self.ip, 'name': f'sidecar-{self.ip}', 'dataCentre': ZONE, 'service': SERVICE,
+            'vm': self.ip, 'name': f'sidecar-{self.ip}', 'dataCentre': ZONE, 'service': self._service,
             'upstreamAddress': f'{self.ip}:{SERVER_PORT}', 'callerAddress': f'{self.ip}:{OUTBOUND_PORT}',
             'readinessAddress': f'{self.ip}:{READY_PORT}', 'peerPort': PEER_PORT, 'metricsPort': METRICS_PORT,
-            'storeAddress': self._store.address, 'memoryMegabytes': MEMORY_MB, 'descriptors': DESCRIPTORS,
+            'storeAddress': self._store.address, 'memoryMegabytes': self._memory_mb, 'descriptors': DESCRIPTORS,
             'grace': grace, 'drain': '2000ms', 'heartbeat': f'{HEARTBEAT_S}s', 'repeatRatio': 0.2,
             'repeatWindow': '10s', 'extraRepeats': 50}))
         new.replace(self._settings)
@@ -194,14 +223,35 @@
             return False
 
     def peak_memory_mb(self):
-        lines = pathlib.Path(f'/proc/{self.process.pid}/status').read_text().splitlines()
-        return next(int(line.split()[1]) // 1024 for line in lines if line.startswith('VmHWM:'))
+        return self._memory_mb_of('VmHWM:')
+
+    def memory_mb(self):
+        return self._memory_mb_of('VmRSS:')
+
+    def _memory_mb_of(self, name):
+        try:
+            lines = pathlib.Path(f'/proc/{self.process.pid}/status').read_text().splitlines()
+        except OSError:  # the process has ended
+            return 0
+        return next((int(line.split()[1]) // 1024 for line in lines if line.startswith(name)), 0)
 
     def kill(self):
         self.process.kill()
         self.process.wait()
 
 
+def run(play):
+    """Ends the script with the case's result, 2 if it couldn't run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the case ends its processes
+    result = 2
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            result = play(folder)
+    except Exception:
+        traceback.print_exc()
+    os._exit(result)  # without waiting for threads of the stand-ins
+
+
 def wait_until_ready(nodes, limit_s):
     until = time.monotonic() + limit_s
     while not all(node.is_ready() for node in nodes):
@@ -218,9 +268,10 @@
         self._socket = socket.create_connection((ip, OUTBOUND_PORT), timeout=1)
         self._socket.settimeout(10)
 
-    def send(self, path, attempt, key, deadline_ms):
-        self._socket.sendall((f'GET {path} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT}: {attempt}\r\n{DEADLINE}: {deadline_ms}\r\n'
-                              f'Authorization: Bearer {key}\r\n\r\n').encode())
+    def send(self, path, attempt, key, deadline_ms, body=b''):
+        length = f'Content-Length: {len(body)}\r\n' if body else ''
+        self._socket.sendall(f'{"POST" if body else "GET"} {path} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT}: {attempt}\r\n'
+                             f'{DEADLINE}: {deadline_ms}\r\nAuthorization: Bearer {key}\r\n{length}\r\n'.encode() + body)
 
     def receive(self, bytes_per_s=None):
         """Returns the status, the announced length and the length of what came. Without a rate it reads at once."""
@@ -233,7 +284,8 @@
                 head += piece
             head, _, rest = head.partition(b'\r\n\r\n')
             lines = head.decode().split('\r\n')
-            length = next(int(line.split(':')[1]) for line in lines if line.lower().startswith('content-length:'))
+            fields = dict(line.lower().split(': ', 1) for line in lines[1:])
+            length, self.retry_after_s = int(fields['content-length']), float(fields.get('retry-after', 0))
             received = len(rest)
             while received < length:
                 if bytes_per_s:
