--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -3,6 +3,7 @@
 They speak what PROTOCOL.md says and listen on loopback addresses only. Times are in seconds unless a name says otherwise.
 """
 import base64
+import ctypes
 import http.client
 import json
 import os
@@ -190,6 +191,14 @@
         'tenants': tenants})
 
 
+_LIBC, _PR_SET_PDEATHSIG = ctypes.CDLL(None), 1
+
+
+def _end_with_parent():
+    """Also if the script is killed."""
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Node:
     """A process of the project, run as deploy/system.toml says, with the settings that its template makes."""
 
@@ -199,7 +208,7 @@
         self.write_settings(grace)
         with open(pathlib.Path(folder) / f'{ip}.log', 'w') as log:
             self.process = subprocess.Popen(
-                ['target/ebony-sidecar'], cwd=ROOT, stdout=log, stderr=log,
+                ['target/ebony-sidecar'], cwd=ROOT, stdout=log, stderr=log, preexec_fn=_end_with_parent,
                 env={'PATH': os.environ['PATH'], 'EBONYSTACK_SETTINGS': str(self._settings)})
 
     def write_settings(self, grace):
@@ -242,12 +251,13 @@
 
 def run(play):
     """Ends the script with the case's result, 2 if it couldn't run."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the case ends its processes
+    for interrupt in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # the case ends its processes then too
+        signal.signal(interrupt, lambda *_: sys.exit(2))
     result = 2
     try:
         with tempfile.TemporaryDirectory() as folder:
             result = play(folder)
-    except Exception:
+    except BaseException:
         traceback.print_exc()
     os._exit(result)  # without waiting for threads of the stand-ins
 
@@ -267,12 +277,16 @@
     def __init__(self, ip):
         self._socket = socket.create_connection((ip, OUTBOUND_PORT), timeout=1)
         self._socket.settimeout(10)
+        self.is_closing, self.retry_after_s = False, 0.0
 
     def send(self, path, attempt, key, deadline_ms, body=b''):
         length = f'Content-Length: {len(body)}\r\n' if body else ''
         self._socket.sendall(f'{"POST" if body else "GET"} {path} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT}: {attempt}\r\n'
                              f'{DEADLINE}: {deadline_ms}\r\nAuthorization: Bearer {key}\r\n{length}\r\n'.encode() + body)
 
+    def close(self):
+        self._socket.close()
+
     def receive(self, bytes_per_s=None):
         """Returns the status, the announced length and the length of what came. Without a rate it reads at once."""
         head, begun_at, received = b'', time.monotonic(), 0
@@ -286,6 +300,7 @@
             lines = head.decode().split('\r\n')
             fields = dict(line.lower().split(': ', 1) for line in lines[1:])
             length, self.retry_after_s = int(fields['content-length']), float(fields.get('retry-after', 0))
+            self.is_closing = fields.get('connection') == 'close'
             received = len(rest)
             while received < length:
                 if bytes_per_s:
