Refused requests don't hold their memory until their connections are closed

Callers saw a process that ran out of memory beside clients whose bodies stop short of their end and that come back at once.

Cause: a refusal released the account, while the connection kept its parser, its body and its input until the refusal was acknowledged and half a second more. With clients that return after 0.1 s, what was kept is many times what was counted.

The parser and the input are freed with the account; what still arrives is read and discarded.

--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -324,9 +324,18 @@
 
     void onEnd(const ConnectionPtr& connection, StreamEnd) { drop(connection); }
 
+    /// Frees what the connection holds of requests that have no response.
+    void discardRequests(Connection& connection)
+    {
+        connection.parser.reset();
+        std::string().swap(connection.input); // an assignment would keep the buffer
+        requestMemory.release(connection, 0);
+    }
+
+    /// From now on all received bytes are discarded.
     void closeAfterWriting(const ConnectionPtr& connection)
     {
-        requestMemory.release(*connection, 0);
+        discardRequests(*connection);
         connections.erase(connection);
         closing.push_back(connection);
         connection->stream->closeAfterWriting(readBy(*connection) - monotonicNow() + closeLimitMargin);
@@ -334,7 +343,7 @@
 
     void drop(const ConnectionPtr& connection)
     {
-        requestMemory.release(*connection, 0);
+        discardRequests(*connection);
         connections.erase(connection);
         connection->unread.resize(0);
         connection->awaitsAcknowledgement = false;
