A body that arrives is held once

Callers saw a process that ran out of memory beside many long bodies.

Cause: bytes were copied into the connection's input before the parser copied them into the body, and each connection kept an input buffer of up to 64 KiB. A body without a length grew by doubling, with the old and the new copy at once, and was counted by its bytes alone.

The parser reads the received bytes where they are; only what it can't use yet is kept. The body is a ByteBuffer, which grows with realloc: the allocator moves the pages of a long one instead of copying it. An announced body gets address space for 256 KiB at most before it arrives; before, each announced length was reserved at once.

--- a/src/protocol/Body.cpp
+++ b/src/protocol/Body.cpp
@@ -10,11 +10,19 @@
         *this = partOf(std::move(bytes), 0, length);
 }
 
+Body::Body(ByteBuffer bytes)
+{
+    if (bytes.size() == 0)
+        return;
+    m_owner = std::make_shared<Owner>(std::move(bytes));
+    m_bytes = m_owner->buffer.view();
+}
+
 Body Body::partOf(std::string buffer, std::size_t begin, std::size_t length)
 {
     Body body;
     body.m_owner = std::make_shared<Owner>(std::move(buffer));
-    body.m_bytes = std::string_view(body.m_owner->buffer).substr(begin, length);
+    body.m_bytes = std::string_view(body.m_owner->text).substr(begin, length);
     return body;
 }
 
--- a/src/protocol/Body.h
+++ b/src/protocol/Body.h
@@ -2,6 +2,8 @@
 // longer buffer, as of a frame.
 #pragma once
 
+#include "protocol/ByteBuffer.h"
+
 #include <compare>
 #include <cstddef>
 #include <memory>
@@ -19,6 +21,7 @@
 public:
     Body() = default;
     Body(std::string bytes); // not explicit: text is a body
+    Body(ByteBuffer bytes); // likewise
     Body(const char* text)
         : Body(std::string(text))
     {
@@ -43,11 +46,16 @@
 private:
     struct Owner {
         explicit Owner(std::string bytes)
+            : text(std::move(bytes))
+        {
+        }
+        explicit Owner(ByteBuffer bytes)
             : buffer(std::move(bytes))
         {
         }
 
-        const std::string buffer;
+        const std::string text;
+        const ByteBuffer buffer; // one of the two is empty
         std::shared_ptr<const void> reservation;
     };
 
--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -27,6 +27,8 @@
 constexpr Duration slowReaderTime = 1s;
 /// Bytes that a caller may send before it has received the response to its request.
 constexpr std::size_t maxPipelinedBytes = 1 << 20;
+/// A larger input buffer is freed once its bytes are used, since a node has many connections.
+constexpr std::size_t maxRetainedInputBytes = 4 << 10;
 /// The tick ends connections that close after their response was read, and counts them; their own limit comes
 /// later.
 constexpr Duration closeLimitMargin = 1s;
@@ -104,20 +106,20 @@
 
     void onBytes(const ConnectionPtr& connection, std::string_view bytes)
     {
-        connection->input.append(bytes);
         connection->lastReceivedAt = monotonicNow();
         requestMemory.addReceived(*connection, bytes.size());
-        if (connection->serving) {
-            if (connection->input.size() > maxPipelinedBytes || requestMemory.isShortPartFull())
-                drop(connection);
-            return;
-        }
-        readRequest(connection);
+        if (!connection->serving)
+            return readRequest(connection, bytes);
+        connection->input.append(bytes);
+        if (connection->input.size() > maxPipelinedBytes || requestMemory.isShortPartFull())
+            drop(connection);
     }
 
-    void readRequest(const ConnectionPtr& connection)
+    /// Reads from the connection's input and the bytes that have just arrived.
+    void readRequest(const ConnectionPtr& connection, std::string_view arrived)
     {
-        if (connection->input.empty() || connection->serving || !connections.contains(connection))
+        const bool hasBytes = !arrived.empty() || !connection->input.empty();
+        if (!hasBytes || connection->serving || !connections.contains(connection))
             return;
         if (!connection->parser) {
             const CallerLimits current = limits();
@@ -125,8 +127,7 @@
             connection->sentContinue = false;
             connection->phaseStartedAt = monotonicNow();
         }
-        const std::size_t used = connection->parser->feed(connection->input);
-        connection->input.erase(0, used);
+        feedParser(*connection, arrived);
         if (connection->parser->refusal())
             return refuse(connection, *connection->parser->refusal());
         if (connection->parser->done())
@@ -141,6 +142,21 @@
         }
     }
 
+    /// Only what the parser can't use yet is copied: a body is held once.
+    static void feedParser(Connection& connection, std::string_view arrived)
+    {
+        std::string& input = connection.input;
+        if (input.empty()) {
+            const std::size_t used = connection.parser->feed(arrived);
+            input.assign(arrived.substr(used));
+        } else {
+            input.append(arrived);
+            input.erase(0, connection.parser->feed(input));
+        }
+        if (input.empty() && input.capacity() > maxRetainedInputBytes)
+            input.shrink_to_fit();
+    }
+
     static void sendContinue(Connection& connection)
     {
         if (connection.parser->expectsContinue() && !std::exchange(connection.sentContinue, true))
@@ -223,7 +239,7 @@
         // in another.
         state.timers.at(monotonicNow(), [weak = weak_from_this(), connection](Instant) {
             if (const auto self = weak.lock())
-                self->readRequest(connection);
+                self->readRequest(connection, {});
         });
     }
 
--- a/src/transport/HttpCodec.cpp
+++ b/src/transport/HttpCodec.cpp
@@ -1,6 +1,7 @@
 // Wraps the parsers of Boost.Beast.
 #include "transport/HttpCodec.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/message.hpp>
@@ -15,19 +16,17 @@
 /// A head, chunk header or trailer is used only when it is complete, so the bytes that a parser has not used
 /// are the part of one that has arrived. Longer ones are not accepted.
 constexpr std::size_t maxUnusedBytes = 64 << 10;
-/// A longer body whose length is not known gets address space for the longest at once: it takes memory only
-/// for what arrives, and is not copied as it grows.
-constexpr std::size_t maxGrowingBodyBytes = 1 << 20;
-constexpr std::size_t longestBodyBytes = std::size_t { 64 } << 20;
+/// An announced body gets address space for no more than this before it arrives.
+constexpr std::size_t maxReservedBytes = std::size_t { 256 } << 10;
 
 /// The body that the parsers fill, for the HTTP library.
 struct ReceivedBody {
-    using value_type = std::string;
+    using value_type = ByteBuffer;
 
     class reader { // NOLINT(readability-identifier-naming): the library's name
     public:
         template <bool isRequest, typename Fields>
-        reader(Http::header<isRequest, Fields>&, std::string& body)
+        reader(Http::header<isRequest, Fields>&, ByteBuffer& body)
             : m_body(body)
         {
         }
@@ -35,7 +34,8 @@
         void init(const boost::optional<std::uint64_t>& length, ErrorCode& error)
         {
             error = {};
-            m_body.reserve(static_cast<std::size_t>(length.value_or(0)));
+            m_body.reserve(
+                static_cast<std::size_t>(std::min<std::uint64_t>(length.value_or(0), maxReservedBytes)));
         }
 
         template <typename Buffers> std::size_t put(const Buffers& buffers, ErrorCode& error)
@@ -43,8 +43,7 @@
             error = {};
             std::size_t count = 0;
             for (const auto& buffer : boost::beast::buffers_range_ref(buffers)) {
-                growFor(buffer.size());
-                m_body.append(static_cast<const char*>(buffer.data()), buffer.size());
+                m_body.append({ static_cast<const char*>(buffer.data()), buffer.size() });
                 count += buffer.size();
             }
             return count;
@@ -53,14 +52,7 @@
         void finish(ErrorCode& error) { error = {}; }
 
     private:
-        void growFor(std::size_t bytes)
-        {
-            const std::size_t needed = m_body.size() + bytes;
-            if (needed > m_body.capacity() && needed > maxGrowingBodyBytes && needed <= longestBodyBytes)
-                m_body.reserve(longestBodyBytes);
-        }
-
-        std::string& m_body;
+        ByteBuffer& m_body;
     };
 };
 
