Freed memory goes back to the system

Cause: bodies under 256 KiB came from the heap, where one that is in use keeps all that was freed below it.

What is free in the heap beyond a twentieth of the VM's memory goes back once a second (malloc_trim). The functions moved from main.cpp to ProcessHeap.

--- a/apps/ebony-sidecar/main.cpp
+++ b/apps/ebony-sidecar/main.cpp
@@ -3,15 +3,13 @@
 #include "protocol/SidecarSettings.h"
 #include "state/Check.h"
 #include "transport/Log.h"
+#include "transport/ProcessHeap.h"
 #include "transport/Sidecar.h"
 
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <gflags/gflags.h>
-#ifdef __GLIBC__
-#include <malloc.h>
-#endif
 
 DEFINE_string(config, "", "The settings file (JSON). Default: the file named by $EBONYSTACK_SETTINGS.");
 
@@ -44,18 +42,6 @@
     return std::nullopt;
 }
 
-/// Long bodies get memory of their own that goes back to the system with them. By default the allocator keeps
-/// memory of up to 32 MiB for others once a body of that length was freed.
-void configureAllocator()
-{
-#ifdef __GLIBC__
-    constexpr int ownMemoryBytes = 256 << 10;
-    constexpr int keptBytes = 1 << 20;
-    ::mallopt(M_MMAP_THRESHOLD, ownMemoryBytes);
-    ::mallopt(M_TRIM_THRESHOLD, keptBytes);
-#endif
-}
-
 int run()
 {
     const std::string file = settingsFile();
@@ -90,7 +76,7 @@
         "Exit codes: 0 stopped on request, 1 internal error, 2 wrong arguments or settings, "
         "3 an address can't be listened on.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    configureAllocator();
+    configureHeap();
     try {
         return run();
     } catch (const std::exception& error) {
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -11,6 +11,7 @@
 #include "transport/Log.h"
 #include "transport/NodePeriods.h"
 #include "transport/PeerLinks.h"
+#include "transport/ProcessHeap.h"
 #include "transport/SidecarMetrics.h"
 #include "transport/SidecarState.h"
 #include "transport/StatusServer.h"
@@ -127,6 +128,7 @@
         });
         m_state.timers.every(now, housekeepingPeriod, [this](Instant at) {
             m_state.costs.decay();
+            trimHeap(SidecarState::maxFreeHeap(m_state.settings));
             logLoad(at);
             Log::flush();
         });
--- a/src/transport/SidecarState.h
+++ b/src/transport/SidecarState.h
@@ -67,6 +67,8 @@
 /// Share of the process's memory for all messages. The rest is for the store's copy, connections, and what
 /// the system holds for the process.
 constexpr double messageMemoryShare = 0.6;
+/// Share that the heap may keep free for the next messages.
+constexpr double freeHeapShare = 0.05;
 
 struct SidecarState {
     SidecarState(boost::asio::io_context& context, SidecarSettings given, const PlatformAdapter& platform,
@@ -90,6 +92,12 @@
         return static_cast<std::size_t>(settings.memoryMegabytes * messageMemoryShare * (1 << 20));
     }
 
+    /// In bytes.
+    static std::size_t maxFreeHeap(const SidecarSettings& settings)
+    {
+        return static_cast<std::size_t>(settings.memoryMegabytes * freeHeapShare * (1 << 20));
+    }
+
     boost::asio::io_context& io;
     std::function<Instant()> clock { monotonicNow }; ///< tests replace it
     SidecarSettings settings;
