The system receives less ahead of the process

Callers saw a process that ran out of memory; received bytes that are not read count as its memory.

Cause: each connection had the system's receive buffer, which grows to megabytes once a connection is read fast. Requests that wait for memory and responses that are not read for want of it left their bytes there, outside of the account: up to 32 requests, and one response a slot.

Connections from callers and to the upstream, on the same VM, have receive buffers of 16 KiB (of which Linux makes 32).

--- a/src/transport/ByteStream.cpp
+++ b/src/transport/ByteStream.cpp
@@ -290,6 +290,11 @@
         if (!error)
             attempt->socket.close(ignored);
     });
+    // Before the connection is opened: a window that was announced is not taken back.
+    ErrorCode ignored;
+    attempt->socket.open(endpoint->protocol(), ignored);
+    if (location == PeerLocation::SameVm)
+        setOption(attempt->socket.native_handle(), SOL_SOCKET, SO_RCVBUF, localReceiveBufferBytes);
     attempt->socket.async_connect(
         *endpoint, [attempt, location, done = std::move(done)](const ErrorCode& error) {
             attempt->timer.cancel();
--- a/src/transport/ByteStream.h
+++ b/src/transport/ByteStream.h
@@ -28,6 +28,10 @@
     OtherVm, ///< may be cut off, or lose power
 };
 
+/// The receive buffer of connections on the same VM. What the system has received and the process has not
+/// read counts as memory of the process; the default grows to some megabytes a connection.
+constexpr int localReceiveBufferBytes = 16 << 10;
+
 /// Belongs to the event loop's thread. No callback is called after `close`.
 class ByteStream : public std::enable_shared_from_this<ByteStream> {
 public:
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -79,8 +79,9 @@
         , m_tickTimer(m_io)
         , m_signals(m_io, SIGTERM, SIGINT)
         , m_reloadSignal(m_io, SIGHUP)
-        , m_callerAcceptor(m_io, m_state.settings.callerAddress,
-              [this](auto socket) { m_callers.accept(std::move(socket)); })
+        , m_callerAcceptor(
+              m_io, m_state.settings.callerAddress,
+              [this](auto socket) { m_callers.accept(std::move(socket)); }, localReceiveBufferBytes)
         , m_peerAcceptor(m_io, portAddress(m_state.settings, m_state.settings.peerPort),
               [this](auto socket) { m_links.accept(std::move(socket)); })
         , m_readiness(
--- a/src/transport/StreamAcceptor.cpp
+++ b/src/transport/StreamAcceptor.cpp
@@ -28,7 +28,7 @@
     {
     }
 
-    void listen(const std::string& addressText)
+    void listen(const std::string& addressText, int receiveBufferBytes)
     {
         const SocketAddress address = SocketAddress::parse(addressText);
         ErrorCode error;
@@ -37,6 +37,8 @@
             acceptor.open(endpoint.protocol(), error);
         if (!error)
             acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+        if (!error && receiveBufferBytes > 0)
+            acceptor.set_option(Asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
         if (!error)
             acceptor.bind(endpoint, error);
         if (!error)
@@ -71,10 +73,11 @@
     Accept accept;
 };
 
-StreamAcceptor::StreamAcceptor(Asio::io_context& io, const std::string& address, Accept accept)
+StreamAcceptor::StreamAcceptor(
+    Asio::io_context& io, const std::string& address, Accept accept, int receiveBufferBytes)
     : m_internals(std::make_shared<Internals>(io, std::move(accept)))
 {
-    m_internals->listen(address);
+    m_internals->listen(address, receiveBufferBytes);
     m_internals->acceptNext();
 }
 
--- a/src/transport/StreamAcceptor.h
+++ b/src/transport/StreamAcceptor.h
@@ -15,8 +15,10 @@
 public:
     using Accept = std::function<void(boost::asio::ip::tcp::socket)>;
 
-    /// Throws UserError when `address` ("ip:port") can't be listened on.
-    StreamAcceptor(boost::asio::io_context&, const std::string& address, Accept accept);
+    /// Throws UserError when `address` ("ip:port") can't be listened on. `receiveBufferBytes`: of each
+    /// accepted connection; 0: the system's default, which it may raise.
+    StreamAcceptor(
+        boost::asio::io_context&, const std::string& address, Accept accept, int receiveBufferBytes = 0);
     ~StreamAcceptor();
 
     std::uint16_t port() const;
