A request's body has no more time than its route and its caller

Callers saw descriptors and memory run out beside clients that go on with a byte each 0.8 s and name no deadline.

Cause: only a long body whose caller names a deadline was overdue. A short one, or one without a deadline, ended only when no byte came for 10 s; a byte each 9 s kept its connection and its memory for ever.

A body that has not arrived by the caller's deadline or by the route's timeout, whichever is first (60 s if there is neither), is refused as too slow. Such a request was refused before too, once it had arrived: its deadline had passed. No limit is added that a client inside its own deadline and the operator's timeout meets.

Two checks of CallerResourcesAreBounded expect a request to be read for seconds on a route with a timeout of 200 ms. The route has 20 s there now, the checks are the same.

Evidence: CallerResourcesAreBounded, "a body that goes on arriving is refused at the route's timeout", fails without the change (the connections stay).

--- a/src/transport/CallerConnection.h
+++ b/src/transport/CallerConnection.h
@@ -20,7 +20,7 @@
     std::shared_ptr<MemoryBudget::Reservation> reservation; ///< of that request; set once it is admitted
     std::uint64_t waitId { 0 }; ///< while it waits for memory; else 0
     Instant admittedAt;
-    std::optional<Instant> deadline; ///< of the long request, if its caller has one
+    std::optional<Instant> deadline; ///< of the request that is being read; set once its header is complete
     bool isBehind { false }; ///< won't be complete by its deadline: gets memory only for what arrives
 };
 
--- a/src/transport/CallerDeadline.cpp
+++ b/src/transport/CallerDeadline.cpp
@@ -1,4 +1,4 @@
-// Decodes the deadline field of a request.
+// Decodes the deadline field of a request, and bounds it by the route's timeout.
 #include "transport/CallerDeadline.h"
 
 #include <charconv>
@@ -7,6 +7,11 @@
 namespace {
 
 constexpr Duration maxDeadline = std::chrono::hours(1);
+/// Timeout of requests without a deadline on routes without a timeout.
+constexpr Duration maxCallTime = std::chrono::seconds(60);
+/// Added to the route's timeout: a response that is slightly late is more useful to the caller than a failure
+/// at the timeout, and the operator's limit on late responses is longer.
+constexpr Duration timeoutSlack = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -22,4 +27,9 @@
     return std::chrono::milliseconds(milliseconds);
 }
 
+Duration longestCallTime(const RouteConfig* route)
+{
+    return route && route->timeout > Duration::zero() ? route->timeout + timeoutSlack : maxCallTime;
+}
+
 } // namespace Ebonystack
--- a/src/transport/CallerRequestMemory.cpp
+++ b/src/transport/CallerRequestMemory.cpp
@@ -19,8 +19,6 @@
 constexpr Duration maxWaitOfIdempotent = 600ms;
 constexpr double waitShareOfNonIdempotent = 0.5;
 constexpr Duration maxWaitOfNonIdempotent = 2s;
-/// For callers without a deadline.
-constexpr Duration defaultCallersTime = 2s;
 /// A request is not called slow before this time, or while its last bytes are not older.
 constexpr Duration stallTime = 1s;
 /// A request without a length gets memory in steps.
@@ -54,27 +52,34 @@
     CallerRequestBytes& requests = connection->requests;
     if (requests.waitId != 0)
         return Verdict::Wait;
+    const bool isHeadDone = connection->parser->headDone();
+    if (isHeadDone && !requests.deadline)
+        setDeadline(*connection);
     const std::size_t needed = bytesNeeded(*connection);
     if (requests.reservation && needed <= requests.reservation->bytes())
         return Verdict::Read;
-    if (needed < minLongMessageBytes && !requests.reservation)
+    if ((needed < minLongMessageBytes || !isHeadDone) && !requests.reservation)
         return isShortPartFull() || m_state.memory.budget().isExceeded() ? Verdict::Refuse : Verdict::Read;
     if (requests.reservation && take(*connection, needed, now))
         return Verdict::Read;
-    const RequestHead head = connection->parser->head();
-    const RouteConfig* route = routeOf(head);
-    if (!requests.reservation) {
-        const auto callersTime = readCallerDeadline(head.fields, m_state.adapter.fieldNames().deadline);
-        if (callersTime)
-            requests.deadline = connection->phaseStartedAt + *callersTime;
-        if (!m_queue.blocks(worthOf(route)) && take(*connection, needed, now))
-            return Verdict::Read;
-    }
+    const RouteConfig* route = routeOf(connection->parser->head());
+    if (!requests.reservation && !m_queue.blocks(worthOf(route)) && take(*connection, needed, now))
+        return Verdict::Read;
     if (!m_state.memory.canEverAdmit(MemoryUse::CallerRequest, needed))
         return Verdict::Refuse;
     return wait(connection, route, needed, now);
 }
 
+/// Also for callers that name no deadline, or one that is later than the route allows.
+void CallerRequestMemory::setDeadline(CallerConnection& connection) const
+{
+    const RequestHead head = connection.parser->head();
+    const Duration allowed = longestCallTime(routeOf(head));
+    const auto callersTime = readCallerDeadline(head.fields, m_state.adapter.fieldNames().deadline);
+    connection.requests.deadline
+        = connection.phaseStartedAt + std::min(allowed, callersTime.value_or(allowed));
+}
+
 std::size_t CallerRequestMemory::bytesNeeded(const CallerConnection& connection)
 {
     const CallerRequestBytes& requests = connection.requests;
@@ -112,7 +117,7 @@
     const bool mayWaitLong = route && !route->idempotent;
     const double share = mayWaitLong ? waitShareOfNonIdempotent : waitShareOfIdempotent;
     const Duration most = mayWaitLong ? maxWaitOfNonIdempotent : maxWaitOfIdempotent;
-    const Duration left = requests.deadline ? *requests.deadline - now : defaultCallersTime;
+    const Duration left = *requests.deadline - now;
     requests.waitId = ++m_lastWaitId;
     m_waiting[m_lastWaitId] = connection;
     connection->stream->pauseReading();
@@ -173,7 +178,7 @@
 bool CallerRequestMemory::isOverdue(const CallerConnection& connection, Instant now)
 {
     const CallerRequestBytes& requests = connection.requests;
-    return requests.reservation && requests.deadline && now > *requests.deadline;
+    return requests.deadline && now > *requests.deadline;
 }
 
 std::vector<CallerConnectionPtr> CallerRequestMemory::admitWaiting(Instant now)
--- a/src/transport/CallerRequestMemory.h
+++ b/src/transport/CallerRequestMemory.h
@@ -36,7 +36,7 @@
     /// From then on a request that arrives too slowly for its deadline, or not at all, has memory only for
     /// what has arrived.
     void checkProgress(CallerConnection&, Instant now);
-    /// Whether the deadline of the long request that is being read has passed.
+    /// Whether the deadline of the request that is being read has passed.
     static bool isOverdue(const CallerConnection&, Instant now);
 
     bool hasWaiting() const { return !m_queue.empty(); }
@@ -46,6 +46,7 @@
     std::vector<CallerConnectionPtr> expireWaiting(Instant now);
 
 private:
+    void setDeadline(CallerConnection&) const;
     static std::size_t bytesNeeded(const CallerConnection&);
     bool take(CallerConnection&, std::size_t bytes, Instant now);
     Verdict wait(const CallerConnectionPtr&, const RouteConfig*, std::size_t bytes, Instant now);
--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -422,7 +422,7 @@
         else if (reading && CallerRequestMemory::isOverdue(*connection, now))
             m_internals->refuse(connection,
                 notRunRefusal(
-                    ResultCode::SenderTooSlow, "the body did not arrive before the caller's deadline"));
+                    ResultCode::SenderTooSlow, "the body did not arrive before the request's deadline"));
         else if (reading && now - connection->lastReceivedAt > stallTimeout)
             m_internals->refuse(
                 connection, notRunRefusal(ResultCode::SenderTooSlow, "no byte of the body arrived for 10 s"));
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -25,13 +25,8 @@
 constexpr std::uint16_t statusFirstServerError = 500;
 constexpr std::uint16_t statusUnavailable = 503;
 
-/// Timeout of requests without a deadline on routes without a timeout.
-constexpr Duration maxCallTime = 60s;
 /// Approximate time that a response which the upstream sends at the deadline takes to arrive here.
 constexpr Duration responseTransitTime = 70ms;
-/// Added to the route's timeout: a response that is slightly late is more useful to the caller than a failure
-/// at the timeout, and the operator's limit on late responses is longer.
-constexpr Duration timeoutSlack = 100ms;
 /// How long a request waits when no VM is reachable: upstream records and links usually recover within it.
 constexpr Duration maxVmWait = 250ms;
 constexpr Duration vmWaitInterval = 25ms;
@@ -137,7 +132,7 @@
         call.service = serviceSplit.next(*call.route);
         prepareUpstreamFields(call);
         if (call.isNested)
-            attributeCall(call, callerRemainingTime.value_or(maxCallTime));
+            attributeCall(call, callerRemainingTime.value_or(longestCallTime(nullptr)));
         else
             call.treeValue = worthOf(demandClassOf(call)) / state.costs.maxReportedArrivals(call.route->id)
                 * (1 + treeValueSpread * random.uniform());
@@ -190,8 +185,7 @@
     void setDeadline(Call& call, const std::optional<Duration>& callerRemainingTime)
     {
         const RouteConfig& route = *call.route;
-        const Duration timeout
-            = route.timeout > Duration::zero() ? route.timeout + timeoutSlack : maxCallTime;
+        const Duration timeout = longestCallTime(&route);
         call.deadline = call.receivedAt + std::min(timeout, callerRemainingTime.value_or(timeout));
         if (callerRemainingTime && !call.isNested)
             call.isCallerRetry
--- a/test/correctness/CallerResourcesAreBounded.cpp
+++ b/test/correctness/CallerResourcesAreBounded.cpp
@@ -39,6 +39,15 @@
             + std::to_string(announced) + "\r\n\r\n" + std::string(sent, 'x'));
     }
 
+    /// Of the route of the reads and that of the orders.
+    void setRouteTimeout(Duration timeout)
+    {
+        ServingConfig config = makeServingConfig();
+        for (RouteConfig& route : config.routes)
+            route.timeout = timeout;
+        entry.state.config = std::make_shared<const ServingIndex>(config);
+    }
+
     std::size_t sentCount() const { return entry.transport.sent.size(); }
 
     /// Opens a connection as a caller. Bytes received on it are appended to `received`.
@@ -228,6 +237,7 @@
 TEST_CASE("an announced length takes memory only while the body arrives in time")
 {
     CallerServerFixture fixture(100, 100);
+    fixture.setRouteTimeout(20s);
     const MemoryBudget& budget = fixture.entry.state.memory.budget();
     const auto stream = fixture.connect();
     fixture.post(*stream, "/read/1", "1", 600'000, 5, 4s);
@@ -276,6 +286,7 @@
 TEST_CASE("a request whose body stops arriving is refused as too slow")
 {
     CallerServerFixture fixture(100, 100);
+    fixture.setRouteTimeout(20s);
     const auto stream = fixture.connect();
     stream->write("POST /read/1 HTTP/1.1\r\nHost: example\r\nContent-Length: 10\r\n\r\nhalf");
     fixture.runUntil([&] { return fixture.server.busyCount() == 1; });
@@ -286,6 +297,28 @@
     CHECK(fixture.received.find("Ebony-Result: 705") != std::string::npos);
 }
 
+// Guards against callers that keep their connection and memory with a byte now and then.
+TEST_CASE("a body that goes on arriving is refused at the route's timeout, whatever its caller's deadline is")
+{
+    CallerServerFixture fixture(100, 100);
+    fixture.setRouteTimeout(5s);
+    const auto stream = fixture.connect();
+    fixture.post(*stream, "/order/1", "1", 1000, 10, 1h);
+    const auto unlimited = fixture.connect(); // without a deadline
+    unlimited->write("POST /order/1 HTTP/1.1\r\nHost: example\r\nContent-Length: 1000\r\n\r\n");
+    fixture.runUntil([&] { return fixture.server.busyCount() == 2; });
+    fixture.server.tick(monotonicNow() + 4s);
+    CHECK(fixture.server.connectionCount() == 2);
+    stream->write("x");
+    unlimited->write("x");
+    fixture.runUntil([] { return false; });
+    fixture.server.tick(monotonicNow() + 6s);
+    fixture.runUntil([&] { return fixture.ended == 2; });
+    CHECK(fixture.server.connectionCount() == 0);
+    CHECK(fixture.received.find("Ebony-Result: 705") != std::string::npos);
+    CHECK(fixture.entry.transport.sent.empty());
+}
+
 TEST_CASE("a request whose header stops arriving is refused as too slow")
 {
     CallerServerFixture fixture(100, 100);
