Connections that close count as descriptors, and slow callers make room

Callers saw a process run out of descriptors beside clients that come back at once, and no connection is left for them beside clients that hold all of them.

Cause: the limit counted open connections, not those whose last response is still on its way, half a second at least. At the limit only idle connections made room; with requests that stop short on all of them each new caller was disconnected.

The limit counts both. At it, the connection that is used least is closed: one that has its last response, then an idle one, then of those that have been receiving or sending for a second the one with the lowest rate. CallerEviction decides this without a network (SlowCallersMakeRoom). Requests that are served are never closed for it.

--- a/src/transport/CallerConnection.h
+++ b/src/transport/CallerConnection.h
@@ -22,6 +22,8 @@
     Instant admittedAt;
     std::optional<Instant> deadline; ///< of the request that is being read; set once its header is complete
     bool isBehind { false }; ///< won't be complete by its deadline: gets memory only for what arrives
+
+    std::size_t received() const { return reservation ? inLong : inShort; }
 };
 
 struct CallerConnection {
@@ -41,6 +43,8 @@
     Instant phaseStartedAt; // start of the current phase: idle, reading or writing
     Instant lastReceivedAt;
     CallerRequestBytes requests;
+    bool isClosing { false }; // after its last response
+    std::size_t responseBytes { 0 }; // length of the last response's body
     std::uint64_t responseEnd { 0 }; // position in the stream of the end of the last response
     bool awaitsAcknowledgement { false }; // of the last response, as far as known
     MemoryBudget::Reservation unread; // bytes of responses that the caller does not have, as of the last tick
--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -2,6 +2,7 @@
 // memory and time.
 #include "transport/CallerServer.h"
 
+#include "coordination/CallerEviction.h"
 #include "transport/CallerDeadline.h"
 #include "transport/CallerRequestMemory.h"
 #include "transport/SystemClock.h"
@@ -55,25 +56,31 @@
     {
     }
 
-    /// Adds a new connection. At the limit, closes the connection that has been idle for longest, or the new
-    /// one if none is idle.
+    /// Adds a new connection. At the limit, closes the one that is used least, or the new one if all are in
+    /// use.
     void addConnection(const ConnectionPtr& connection)
     {
-        if (connections.size() >= maxConnections()) {
-            const ConnectionPtr idle = longestIdleConnection();
+        forgetClosed();
+        if (connections.size() + closing.size() >= maxConnections()) {
+            const ConnectionPtr leastUsed = leastUsedConnection();
             state.log.failure("too many connections of callers", "", monotonicNow(), [&] {
-                return nlohmann::json { { "connections", connections.size() },
-                    { "closed", idle ? "an idle connection" : "the new connection" } };
+                return nlohmann::json { { "connections", connections.size() }, { "closing", closing.size() },
+                    { "closed", leastUsed ? "the least used connection" : "the new connection" } };
             });
-            if (!idle)
+            if (!leastUsed)
                 return connection->stream->close();
-            drop(idle);
+            drop(leastUsed);
         }
         connections.insert(connection);
         startStream(*connection->stream, weak_from_this(), std::weak_ptr<Connection>(connection),
             &Internals::onBytes, &Internals::onEnd);
     }
 
+    void forgetClosed()
+    {
+        std::erase_if(closing, [](const ConnectionPtr& connection) { return !connection->stream->isOpen(); });
+    }
+
     std::size_t maxConnections() const
     {
         return static_cast<std::size_t>(state.settings.descriptors * callerDescriptorShare);
@@ -90,16 +97,41 @@
         return connection.awaitsAcknowledgement && !connection.stream->isAcknowledged(connection.responseEnd);
     }
 
-    /// Returns null if no connection is idle.
-    ConnectionPtr longestIdleConnection() const
+    std::vector<ConnectionPtr> openConnections() const
     {
-        ConnectionPtr longestIdle;
-        for (const ConnectionPtr& connection : connections) {
-            if (isIdle(*connection)
-                && (!longestIdle || connection->phaseStartedAt < longestIdle->phaseStartedAt))
-                longestIdle = connection;
-        }
-        return longestIdle;
+        std::vector<ConnectionPtr> all(connections.begin(), connections.end());
+        all.insert(all.end(), closing.begin(), closing.end());
+        return all;
+    }
+
+    static CallerActivity activityOf(const Connection& connection, Instant now)
+    {
+        const double age = toSeconds(now - connection.phaseStartedAt);
+        if (connection.serving || connection.requests.waitId != 0)
+            return { CallerPhase::Serving, age };
+        if (connection.parser)
+            return { CallerPhase::Receiving, age, connection.requests.received() };
+        if (!isBeingRead(connection))
+            return { connection.isClosing ? CallerPhase::Closing : CallerPhase::Idle, age };
+        const std::size_t unread = connection.stream->unacknowledged();
+        return { CallerPhase::Sending, toSeconds(now - connection.respondedAt),
+            connection.responseBytes - std::min(unread, connection.responseBytes) };
+    }
+
+    static std::vector<CallerActivity> activitiesOf(const std::vector<ConnectionPtr>& all)
+    {
+        std::vector<CallerActivity> activities;
+        for (const ConnectionPtr& connection : all)
+            activities.push_back(activityOf(*connection, monotonicNow()));
+        return activities;
+    }
+
+    /// Returns null if all connections are in use.
+    ConnectionPtr leastUsedConnection() const
+    {
+        const std::vector<ConnectionPtr> all = openConnections();
+        const auto chosen = connectionToClose(activitiesOf(all));
+        return chosen ? all[*chosen] : nullptr;
     }
 
     CallerLimits limits() const { return state.config ? state.config->config().limits : CallerLimits {}; }
@@ -266,6 +298,7 @@
         if (sendsBody(head, isHeadRequest))
             connection->stream->writeBody(response.body);
         connection->responseEnd = connection->stream->written();
+        connection->responseBytes = response.body.size();
         connection->awaitsAcknowledgement = true;
         connection->respondedAt = monotonicNow();
         connection->isSlowReader = false;
@@ -293,8 +326,7 @@
     void endLongestUnread()
     {
         endsLongestUnread = false;
-        std::vector<ConnectionPtr> longestFirst(connections.begin(), connections.end());
-        longestFirst.insert(longestFirst.end(), closing.begin(), closing.end());
+        std::vector<ConnectionPtr> longestFirst = openConnections();
         for (const ConnectionPtr& connection : longestFirst)
             updateReading(connection, monotonicNow()); // most have been read since they were written
         std::ranges::sort(longestFirst, std::greater {},
@@ -353,6 +385,7 @@
     {
         discardRequests(*connection);
         connections.erase(connection);
+        connection->isClosing = true;
         closing.push_back(connection);
         connection->stream->closeAfterWriting(readBy(*connection) - monotonicNow() + closeLimitMargin);
     }
@@ -372,7 +405,8 @@
     SidecarState& state;
     EntryService& entry;
     std::set<ConnectionPtr> connections;
-    // Connections that close after their last response is read. The process must not end before that.
+    // Connections that close after their last response is read, until they are closed. The process must not
+    // end before that.
     std::vector<ConnectionPtr> closing;
     CallerRequestMemory requestMemory;
     bool retriesWaiting { false }; // scheduled
@@ -399,8 +433,7 @@
 {
     for (const auto& connection : m_internals->closing)
         m_internals->checkReading(connection, now);
-    std::erase_if(
-        m_internals->closing, [](const auto& connection) { return !connection->awaitsAcknowledgement; });
+    m_internals->forgetClosed();
     const CallerLimits limits = m_internals->limits();
     const auto connections = m_internals->connections;
     for (const auto& connection : connections) {
--- /dev/null
+++ b/test/correctness/SlowCallersMakeRoom.cpp
@@ -0,0 +1,38 @@
+// Which connections of callers are closed when descriptors run out.
+#include "coordination/CallerEviction.h"
+
+#include <doctest/doctest.h>
+
+using namespace Ebonystack;
+
+namespace {
+
+constexpr CallerActivity fresh(CallerPhase phase) { return { phase, 0.2, 1000 }; }
+
+} // namespace
+
+TEST_CASE("a connection without a message is closed before one in use, and the oldest of them first")
+{
+    const std::vector<CallerActivity> activities { { CallerPhase::Receiving, 60, 1 },
+        { CallerPhase::Idle, 50, 0 }, { CallerPhase::Closing, 0.1, 0 },
+        { CallerPhase::Closing, 0.3, 0 } };
+    CHECK(connectionToClose(activities) == 3);
+    CHECK(connectionToClose({ activities[0], activities[1] }) == 1);
+    CHECK(connectionToClose({ { CallerPhase::Idle, 1, 0 }, { CallerPhase::Idle, 2, 0 } }) == 1);
+}
+
+TEST_CASE("of the connections in use the slowest is closed")
+{
+    const CallerActivity trickles { CallerPhase::Receiving, 10, 12 };
+    const CallerActivity readsSlowly { CallerPhase::Sending, 10, 160 };
+    const CallerActivity sends { CallerPhase::Receiving, 10, 10'000'000 };
+    CHECK(connectionToClose({ sends, readsSlowly, trickles }) == 2);
+    CHECK(connectionToClose({ sends, readsSlowly }) == 1);
+}
+
+TEST_CASE("a caller that has just begun and a request that is served keep their connections")
+{
+    CHECK_FALSE(connectionToClose({ fresh(CallerPhase::Receiving), fresh(CallerPhase::Sending),
+        { CallerPhase::Serving, 100, 0 } }));
+    CHECK_FALSE(connectionToClose({}));
+}
