Requests that have stopped arriving make room for others

When short requests lack memory, or a long one waits for it, the requests that arrive the slowest are refused as not run, of those that have been arriving for a second. A long request that arrives in time for its deadline is kept, and none is refused for a long one that would not have room all the same.

--- a/src/coordination/CallerEviction.cpp
+++ b/src/coordination/CallerEviction.cpp
@@ -24,6 +24,11 @@
 
 bool isSlow(const CallerActivity& activity) { return activity.ageSeconds >= minSlowSeconds; }
 
+bool isSlowIn(const CallerActivity& activity, CallerPhase phase)
+{
+    return activity.phase == phase && activity.held > 0 && isSlow(activity);
+}
+
 std::optional<Rank> rankOf(const CallerActivity& activity)
 {
     switch (activity.phase) {
@@ -56,4 +61,29 @@
     return chosen;
 }
 
+std::vector<std::size_t> slowestOf(
+    const std::vector<CallerActivity>& activities, CallerPhase phase, std::size_t bytes)
+{
+    std::vector<std::size_t> slow;
+    for (std::size_t i = 0; i < activities.size(); ++i) {
+        if (isSlowIn(activities[i], phase))
+            slow.push_back(i);
+    }
+    std::ranges::sort(slow, {}, [&](std::size_t i) { return rateOf(activities[i]); });
+    std::size_t freed = 0;
+    std::size_t count = 0;
+    while (count < slow.size() && freed < bytes)
+        freed += activities[slow[count++]].held;
+    slow.resize(count);
+    return slow;
+}
+
+std::size_t heldBySlow(const std::vector<CallerActivity>& activities, CallerPhase phase)
+{
+    std::size_t held = 0;
+    for (const CallerActivity& activity : activities)
+        held += isSlowIn(activity, phase) ? activity.held : 0;
+    return held;
+}
+
 } // namespace Ebonystack
--- a/src/coordination/CallerEviction.h
+++ b/src/coordination/CallerEviction.h
@@ -24,6 +24,7 @@
     CallerPhase phase { CallerPhase::Idle };
     double ageSeconds { 0 }; ///< of the phase
     std::size_t moved { 0 }; ///< bytes received or sent in the phase
+    std::size_t held { 0 }; ///< bytes that would be freed
 
     auto operator<=>(const CallerActivity&) const = default;
 };
@@ -32,4 +33,10 @@
 /// some time before it counts as slow.
 std::optional<std::size_t> connectionToClose(const std::vector<CallerActivity>&);
 
+/// The positions of the slowest callers in this phase that together hold `bytes`, or of all that are slow.
+std::vector<std::size_t> slowestOf(const std::vector<CallerActivity>&, CallerPhase, std::size_t bytes);
+
+/// The bytes that all slow callers in this phase hold.
+std::size_t heldBySlow(const std::vector<CallerActivity>&, CallerPhase);
+
 } // namespace Ebonystack
--- a/src/coordination/LongRequestQueue.h
+++ b/src/coordination/LongRequestQueue.h
@@ -40,6 +40,8 @@
         return !m_requests.empty() && m_requests.begin()->second.worth >= worth;
     }
     bool empty() const { return m_requests.empty(); }
+    /// The length of the request that is admitted next; 0: none.
+    std::size_t firstBytes() const { return empty() ? 0 : m_requests.begin()->second.bytes; }
 
 private:
     struct Order {
--- a/src/coordination/MemoryAdmission.cpp
+++ b/src/coordination/MemoryAdmission.cpp
@@ -1,6 +1,8 @@
 // Compares what would be held with the limit of each use.
 #include "coordination/MemoryAdmission.h"
 
+#include <algorithm>
+
 namespace Ebonystack {
 namespace {
 
@@ -24,14 +26,19 @@
     return static_cast<std::size_t>(static_cast<double>(limit()) * shares[static_cast<std::size_t>(use)]);
 }
 
+std::size_t MemoryAdmission::lacking(MemoryUse use, std::size_t bytes) const
+{
+    const std::size_t needed = m_budget.heldBytes() + bytes;
+    return needed - std::min(needed, limitFor(use, bytes));
+}
+
 bool MemoryAdmission::admits(MemoryUse use, std::size_t bytes)
 {
-    const std::size_t allowed = limitFor(use, bytes);
-    if (bytes > allowed)
+    if (!canEverAdmit(use, bytes))
         return false;
-    if (m_budget.heldBytes() + bytes > allowed && m_reclaim)
-        m_reclaim(m_budget.heldBytes() + bytes - allowed);
-    return m_budget.heldBytes() + bytes <= allowed;
+    if (const std::size_t toFree = lacking(use, bytes); toFree > 0 && m_reclaim)
+        m_reclaim(toFree);
+    return lacking(use, bytes) == 0;
 }
 
 bool MemoryAdmission::canEverAdmit(MemoryUse use, std::size_t bytes) const
--- a/src/coordination/MemoryAdmission.h
+++ b/src/coordination/MemoryAdmission.h
@@ -34,6 +34,8 @@
 
     /// Whether there is room for `bytes` more. If not, first asks for what can be given up.
     bool admits(MemoryUse, std::size_t bytes);
+    /// How many bytes have to be freed before there is room for `bytes` more.
+    std::size_t lacking(MemoryUse, std::size_t bytes) const;
     /// Whether there is room for `bytes` when nothing else is held.
     bool canEverAdmit(MemoryUse, std::size_t bytes) const;
     /// Called with the number of bytes that are lacking, to free what is kept only in case it is asked for.
--- a/src/transport/CallerConnection.h
+++ b/src/transport/CallerConnection.h
@@ -24,6 +24,8 @@
     bool isBehind { false }; ///< won't be complete by its deadline: gets memory only for what arrives
 
     std::size_t received() const { return reservation ? inLong : inShort; }
+    /// What is freed if the request is given up for others. A long one that arrives in time is kept.
+    std::size_t reclaimable() const { return reservation && !isBehind ? 0 : received(); }
 };
 
 struct CallerConnection {
--- a/src/transport/CallerRequestMemory.cpp
+++ b/src/transport/CallerRequestMemory.cpp
@@ -59,7 +59,7 @@
     if (requests.reservation && needed <= requests.reservation->bytes())
         return Verdict::Read;
     if ((needed < minLongMessageBytes || !isHeadDone) && !requests.reservation)
-        return isShortPartFull() || m_state.memory.budget().isExceeded() ? Verdict::Refuse : Verdict::Read;
+        return shortBytesLacking() > 0 ? Verdict::RefuseSlowest : Verdict::Read;
     if (requests.reservation && take(*connection, needed, now))
         return Verdict::Read;
     const RouteConfig* route = routeOf(connection->parser->head());
@@ -80,6 +80,19 @@
         = connection.phaseStartedAt + std::min(allowed, callersTime.value_or(allowed));
 }
 
+std::size_t CallerRequestMemory::shortBytesLacking() const
+{
+    const MemoryBudget& all = m_state.memory.budget();
+    const std::size_t ofShort = m_short.bytes() - std::min(m_short.bytes(), m_maxShortBytes);
+    const std::size_t ofAll = all.heldBytes() - std::min(all.heldBytes(), all.limit());
+    return std::max(ofShort, ofAll);
+}
+
+std::size_t CallerRequestMemory::longBytesLacking() const
+{
+    return m_queue.empty() ? 0 : m_state.memory.lacking(MemoryUse::CallerRequest, m_queue.firstBytes());
+}
+
 std::size_t CallerRequestMemory::bytesNeeded(const CallerConnection& connection)
 {
     const CallerRequestBytes& requests = connection.requests;
--- a/src/transport/CallerRequestMemory.h
+++ b/src/transport/CallerRequestMemory.h
@@ -19,6 +19,7 @@
         Read,
         Wait, ///< the connection is not read until `admitWaiting` or `expireWaiting` returns it
         Refuse,
+        RefuseSlowest, ///< to free `shortBytesLacking`
     };
 
     /// The state outlives the object.
@@ -29,6 +30,10 @@
     Verdict check(const CallerConnectionPtr&, Instant now);
     /// Whether short requests have used up their part.
     bool isShortPartFull() const { return m_short.bytes() > m_maxShortBytes; }
+    /// What short requests hold beyond the memory for them.
+    std::size_t shortBytesLacking() const;
+    /// What has to be freed for the first of the requests that wait.
+    std::size_t longBytesLacking() const;
     /// Passes the memory of a complete request on to its body. `left` bytes of the next requests stay.
     void passOn(CallerConnection&, const Body&, std::size_t left);
     /// Frees the memory of the connection's requests but for `left` bytes of the next ones.
--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -110,12 +110,13 @@
         if (connection.serving || connection.requests.waitId != 0)
             return { CallerPhase::Serving, age };
         if (connection.parser)
-            return { CallerPhase::Receiving, age, connection.requests.received() };
+            return { CallerPhase::Receiving, age, connection.requests.received(),
+                connection.requests.reclaimable() };
         if (!isBeingRead(connection))
             return { connection.isClosing ? CallerPhase::Closing : CallerPhase::Idle, age };
         const std::size_t unread = connection.stream->unacknowledged();
         return { CallerPhase::Sending, toSeconds(now - connection.respondedAt),
-            connection.responseBytes - std::min(unread, connection.responseBytes) };
+            connection.responseBytes - std::min(unread, connection.responseBytes), unread };
     }
 
     static std::vector<CallerActivity> activitiesOf(const std::vector<ConnectionPtr>& all)
@@ -134,6 +135,22 @@
         return chosen ? all[*chosen] : nullptr;
     }
 
+    /// Refuses the requests that arrive the slowest, until `bytes` are freed.
+    void refuseSlowest(std::size_t bytes)
+    {
+        const std::vector<ConnectionPtr> all = openConnections();
+        for (const std::size_t i : slowestOf(activitiesOf(all), CallerPhase::Receiving, bytes))
+            refuseForMemory(all[i]);
+    }
+
+    /// Likewise for a long request that waits, if that makes enough room.
+    void makeRoomForWaiting()
+    {
+        const std::size_t lacking = requestMemory.longBytesLacking();
+        if (lacking > 0 && heldBySlow(activitiesOf(openConnections()), CallerPhase::Receiving) >= lacking)
+            refuseSlowest(lacking);
+    }
+
     CallerLimits limits() const { return state.config ? state.config->config().limits : CallerLimits {}; }
 
     void onBytes(const ConnectionPtr& connection, std::string_view bytes)
@@ -171,6 +188,10 @@
             return retryWaitingLater();
         case CallerRequestMemory::Verdict::Refuse:
             return refuseForMemory(connection);
+        case CallerRequestMemory::Verdict::RefuseSlowest:
+            refuseSlowest(requestMemory.shortBytesLacking());
+            if (connections.contains(connection) && requestMemory.shortBytesLacking() > 0)
+                refuseForMemory(connection);
         }
     }
 
@@ -225,8 +246,10 @@
             sendContinue(*connection);
             connection->stream->resumeReading();
         }
-        if (requestMemory.hasWaiting())
-            retryWaitingLater();
+        if (!requestMemory.hasWaiting())
+            return;
+        makeRoomForWaiting(); // for the next try
+        retryWaitingLater();
     }
 
     void serve(const ConnectionPtr& connection)
--- a/test/correctness/CallerResourcesAreBounded.cpp
+++ b/test/correctness/CallerResourcesAreBounded.cpp
@@ -297,6 +297,38 @@
     CHECK(fixture.received.find("Ebony-Result: 705") != std::string::npos);
 }
 
+// Guards against callers that hold the memory of requests and send nothing keeping others out.
+TEST_CASE("requests that have stopped arriving are refused when others need their memory")
+{
+    CallerServerFixture fixture(100, 4); // about 800 KB for short requests, 1.2 MB for long ones
+    fixture.setRouteTimeout(20s);
+    std::vector<std::shared_ptr<ByteStream>> streams;
+    for (int i = 0; i < 5; ++i) {
+        streams.push_back(fixture.connect());
+        fixture.post(*streams.back(), "/order/1", "stopped", 200'000, 199'999);
+    }
+    fixture.runUntil([&] { return fixture.entry.state.memory.budget().heldBytes() > 800'000; });
+    const Instant slowFrom = monotonicNow() + 1s;
+    fixture.runUntil([&] { return monotonicNow() > slowFrom; });
+    const auto caller = fixture.connect();
+    SUBCASE("a short one")
+    {
+        fixture.post(*caller, "/order/1", "1", 200'000, 100'000);
+        fixture.runUntil([] { return false; });
+        caller->write(std::string(100'000, 'x'));
+        CHECK(fixture.runUntil([&] { return fixture.sentCount() == 1; }));
+    }
+    SUBCASE("a long one")
+    {
+        fixture.post(*caller, "/order/1", "1", 700'000, 700'000);
+        Testing::runUntil(
+            fixture.entry.io, [&] { return fixture.sentCount() == 1; }, 1s,
+            [&] { fixture.entry.state.timers.advance(monotonicNow()); });
+        CHECK(fixture.sentCount() == 1);
+    }
+    CHECK(fixture.received.find("HTTP/1.1 503") != std::string::npos);
+}
+
 // Guards against callers that keep their connection and memory with a byte now and then.
 TEST_CASE("a body that goes on arriving is refused at the route's timeout, whatever its caller's deadline is")
 {
