Slow readers keep their responses while there is memory

Cause: responses that callers had not read had a third of the account; beyond it those with the longest were disconnected, however fast they read.

There is one account. When a response from the upstream or another node finds no room, the callers that read the slowest make room, of those that have been reading for a second. A new request of a caller never does that: a response that is ready comes before it. Responses that carry no reservation of their own are counted as of each tick. So that these stay short, the next request on a connection is read when no more than 16 KiB is left to be sent on it; that bounds callers that send many requests at once.

--- a/src/coordination/MemoryAdmission.cpp
+++ b/src/coordination/MemoryAdmission.cpp
@@ -36,8 +36,10 @@
 {
     if (!canEverAdmit(use, bytes))
         return false;
-    if (const std::size_t toFree = lacking(use, bytes); toFree > 0 && m_reclaim)
-        m_reclaim(toFree);
+    for (const auto& [from, reclaim] : m_reclaims) {
+        if (const std::size_t toFree = lacking(use, bytes); toFree > 0 && use >= from)
+            reclaim(toFree);
+    }
     return lacking(use, bytes) == 0;
 }
 
--- a/src/coordination/MemoryAdmission.h
+++ b/src/coordination/MemoryAdmission.h
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <functional>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace Ebonystack {
 
@@ -38,8 +40,9 @@
     std::size_t lacking(MemoryUse, std::size_t bytes) const;
     /// Whether there is room for `bytes` when nothing else is held.
     bool canEverAdmit(MemoryUse, std::size_t bytes) const;
-    /// Called with the number of bytes that are lacking, to free what is kept only in case it is asked for.
-    void setReclaim(Reclaim reclaim) { m_reclaim = std::move(reclaim); }
+    /// Called with the number of bytes that are lacking for a message of this use or a later one, to free
+    /// what is worth less. Those that were added first are called first.
+    void addReclaim(MemoryUse from, Reclaim reclaim) { m_reclaims.emplace_back(from, std::move(reclaim)); }
 
     void recordRefusal(MemoryUse use) { ++m_refusals[static_cast<std::size_t>(use)]; }
     std::uint64_t refusals(MemoryUse use) const { return m_refusals[static_cast<std::size_t>(use)]; }
@@ -49,7 +52,7 @@
     std::size_t limitFor(MemoryUse, std::size_t bytes) const;
 
     MemoryBudget m_budget;
-    Reclaim m_reclaim;
+    std::vector<std::pair<MemoryUse, Reclaim>> m_reclaims;
     std::array<std::uint64_t, 3> m_refusals {};
 };
 
--- a/src/transport/CallerConnection.h
+++ b/src/transport/CallerConnection.h
@@ -29,8 +29,10 @@
 };
 
 struct CallerConnection {
-    explicit CallerConnection(MemoryBudget& unreadBudget)
+    /// `messages`: of all messages of the node.
+    CallerConnection(MemoryBudget& unreadBudget, MemoryBudget& messages)
         : unread(unreadBudget)
+        , unsent(messages)
     {
     }
 
@@ -50,6 +52,8 @@
     std::uint64_t responseEnd { 0 }; // position in the stream of the end of the last response
     bool awaitsAcknowledgement { false }; // of the last response, as far as known
     MemoryBudget::Reservation unread; // bytes of responses that the caller does not have, as of the last tick
+    bool isResponseCounted { false }; // the last one's body carries its own reservation
+    MemoryBudget::Reservation unsent; // bytes of other responses, as of the last tick
     Instant callerDeadline; // of the last request
     Instant respondedAt;
     bool isSlowReader { false }; // of the last response
--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -8,7 +8,6 @@
 #include "transport/SystemClock.h"
 
 #include <algorithm>
-#include <functional>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <vector>
@@ -35,9 +34,8 @@
 constexpr Duration closeLimitMargin = 1s;
 /// Share of the process's file descriptors; the rest is for the upstream, links and listeners.
 constexpr double callerDescriptorShare = 0.6;
-/// Part of the memory for messages that responses which callers have not read may have. Above it the caller
-/// with the longest is disconnected.
-constexpr std::size_t unreadPartDivisor = 3;
+/// The next request on a connection is read when no more than this is left to be sent on it.
+constexpr std::size_t maxUnsentBeforeNext = 16 << 10;
 /// How often long requests that wait for memory ask for it.
 constexpr Duration memoryRetryPeriod = 20ms;
 
@@ -52,7 +50,7 @@
         : state(shared)
         , entry(service)
         , requestMemory(shared)
-        , unreadBudget(SidecarState::messageMemory(shared.settings) / unreadPartDivisor)
+        , unreadBudget(SidecarState::messageMemory(shared.settings))
     {
     }
 
@@ -116,7 +114,8 @@
             return { connection.isClosing ? CallerPhase::Closing : CallerPhase::Idle, age };
         const std::size_t unread = connection.stream->unacknowledged();
         return { CallerPhase::Sending, toSeconds(now - connection.respondedAt),
-            connection.responseBytes - std::min(unread, connection.responseBytes), unread };
+            connection.responseBytes - std::min(unread, connection.responseBytes),
+            connection.stream->unsent() };
     }
 
     static std::vector<CallerActivity> activitiesOf(const std::vector<ConnectionPtr>& all)
@@ -157,18 +156,25 @@
     {
         connection->lastReceivedAt = monotonicNow();
         requestMemory.addReceived(*connection, bytes.size());
-        if (!connection->serving)
+        if (mayReadNext(*connection))
             return readRequest(connection, bytes);
         connection->input.append(bytes);
         if (connection->input.size() > maxPipelinedBytes || requestMemory.isShortPartFull())
             drop(connection);
     }
 
+    /// A caller that sends requests ahead reads their responses first.
+    static bool mayReadNext(const Connection& connection)
+    {
+        return !connection.serving
+            && (connection.parser || connection.stream->unsent() <= maxUnsentBeforeNext);
+    }
+
     /// Reads from the connection's input and the bytes that have just arrived.
     void readRequest(const ConnectionPtr& connection, std::string_view arrived)
     {
         const bool hasBytes = !arrived.empty() || !connection->input.empty();
-        if (!hasBytes || connection->serving || !connections.contains(connection))
+        if (!hasBytes || !mayReadNext(*connection) || !connections.contains(connection))
             return;
         if (!connection->parser) {
             const CallerLimits current = limits();
@@ -322,6 +328,7 @@
             connection->stream->writeBody(response.body);
         connection->responseEnd = connection->stream->written();
         connection->responseBytes = response.body.size();
+        connection->isResponseCounted = response.body.isCounted();
         connection->awaitsAcknowledgement = true;
         connection->respondedAt = monotonicNow();
         connection->isSlowReader = false;
@@ -336,39 +343,41 @@
     void updateUnread(Connection& connection, std::size_t bytes)
     {
         connection.unread.resize(bytes);
-        if (!unreadBudget.isExceeded() || std::exchange(endsLongestUnread, true))
+        if (!state.memory.budget().isExceeded() || std::exchange(endsSlowestReaders, true))
             return;
         // Deferred to the next tick: the entry service may be responding to the connection.
         state.timers.at(monotonicNow(), [weak = weak_from_this()](Instant) {
             if (const auto self = weak.lock())
-                self->endLongestUnread();
+                self->freeExceeded();
         });
     }
 
-    /// Disconnects the callers with the longest unread responses until the others are within the limit.
-    void endLongestUnread()
+    void freeExceeded()
     {
-        endsLongestUnread = false;
-        std::vector<ConnectionPtr> longestFirst = openConnections();
-        for (const ConnectionPtr& connection : longestFirst)
-            updateReading(connection, monotonicNow()); // most have been read since they were written
-        std::ranges::sort(longestFirst, std::greater {},
-            [](const ConnectionPtr& connection) { return connection->unread.bytes(); });
-        for (const ConnectionPtr& connection : longestFirst) {
-            if (!unreadBudget.isExceeded())
-                return;
-            cutOff(connection, "memory");
-        }
+        endsSlowestReaders = false;
+        const MemoryBudget& budget = state.memory.budget();
+        if (budget.isExceeded())
+            endSlowestReaders(budget.heldBytes() - budget.limit());
+    }
+
+    /// Disconnects the callers that read the slowest, until `bytes` are freed.
+    void endSlowestReaders(std::size_t bytes)
+    {
+        const std::vector<ConnectionPtr> all = openConnections();
+        for (const std::size_t i : slowestOf(activitiesOf(all), CallerPhase::Sending, bytes))
+            cutOff(all[i], "memory");
     }
 
     void updateReading(const ConnectionPtr& connection, Instant now)
     {
         if (!connection->awaitsAcknowledgement)
             return;
-        connection->unread.resize(connection->stream->unacknowledged());
+        connection->unsent.resize(connection->isResponseCounted ? 0 : connection->stream->unsent());
+        updateUnread(*connection, connection->stream->unacknowledged());
         if (!isBeingRead(*connection)) {
             connection->awaitsAcknowledgement = false;
             connection->unread.resize(0);
+            connection->unsent.resize(0);
             if (!connection->parser)
                 connection->phaseStartedAt = now;
         } else if (now - connection->respondedAt > slowReaderTime
@@ -418,6 +427,7 @@
         discardRequests(*connection);
         connections.erase(connection);
         connection->unread.resize(0);
+        connection->unsent.resize(0);
         connection->awaitsAcknowledgement = false;
         connection->stream->close();
         if (connection->call)
@@ -434,19 +444,25 @@
     CallerRequestMemory requestMemory;
     bool retriesWaiting { false }; // scheduled
     MemoryBudget unreadBudget; // of responses that callers do not have
-    bool endsLongestUnread { false }; // scheduled
+    bool endsSlowestReaders { false }; // scheduled
 };
 
 CallerServer::CallerServer(SidecarState& state, EntryService& entry)
     : m_internals(std::make_shared<Internals>(state, entry))
 {
+    // Not for requests of callers: a response that is ready comes before them.
+    state.memory.addReclaim(MemoryUse::Response, [weak = std::weak_ptr(m_internals)](std::size_t bytes) {
+        if (const auto internals = weak.lock())
+            internals->endSlowestReaders(bytes);
+    });
 }
 
 CallerServer::~CallerServer() = default;
 
 void CallerServer::accept(boost::asio::ip::tcp::socket socket)
 {
-    auto connection = std::make_shared<Internals::Connection>(m_internals->unreadBudget);
+    auto connection = std::make_shared<Internals::Connection>(
+        m_internals->unreadBudget, m_internals->state.memory.budget());
     connection->stream = std::make_shared<ByteStream>(std::move(socket), PeerLocation::SameVm);
     connection->phaseStartedAt = monotonicNow();
     m_internals->addConnection(connection);
@@ -463,6 +479,10 @@
         m_internals->checkReading(connection, now);
         if (connection->serving || !m_internals->connections.contains(connection))
             continue;
+        if (!connection->parser && !connection->input.empty()) {
+            m_internals->readRequest(connection, {});
+            continue;
+        }
         const bool reading = connection->parser.has_value();
         if (reading)
             m_internals->requestMemory.checkProgress(*connection, now);
--- a/src/transport/HopService.cpp
+++ b/src/transport/HopService.cpp
@@ -698,7 +698,7 @@
 HopService::HopService(SidecarState& state, UpstreamTransport& upstream, Reply reply)
     : m_internals(std::make_shared<Internals>(state, upstream, std::move(reply)))
 {
-    state.memory.setReclaim([weak = std::weak_ptr(m_internals)](std::size_t bytes) {
+    state.memory.addReclaim(MemoryUse::CallerRequest, [weak = std::weak_ptr(m_internals)](std::size_t bytes) {
         if (const auto internals = weak.lock())
             internals->reclaimMemory(bytes);
     });
