--- a/src/protocol/HttpMessage.cpp
+++ b/src/protocol/HttpMessage.cpp
@@ -11,6 +11,10 @@
     = std::to_array<std::string_view>({ "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
         "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect" });
 
+constexpr std::uint16_t firstInterimStatus = 100;
+constexpr std::uint16_t firstFinalStatus = 200;
+constexpr std::uint16_t lastFinalStatus = 599;
+
 char lowerCase(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
 bool contains(auto&& names, std::string_view name)
@@ -69,6 +73,14 @@
         m_fields, [name](const HttpField& field) { return sameFieldName(field.name, name); }));
 }
 
+bool isInterimStatus(std::uint16_t status)
+{
+    constexpr std::uint16_t switchingProtocols = 101;
+    return status >= firstInterimStatus && status < firstFinalStatus && status != switchingProtocols;
+}
+
+bool isFinalStatus(std::uint16_t status) { return status >= firstFinalStatus && status <= lastFinalStatus; }
+
 std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
 void removeHopByHopFields(HttpFields& fields)
--- a/src/protocol/HttpMessage.h
+++ b/src/protocol/HttpMessage.h
@@ -54,6 +54,14 @@
     auto operator<=>(const ResponseHead&) const = default;
 };
 
+/// Whether a response with this status precedes another one to the same request. Not 101: no request asks for
+/// another protocol.
+bool isInterimStatus(std::uint16_t);
+
+/// Whether a response with this status is the one to its request. HTTP has no meaning for those below 100 and
+/// above 599.
+bool isFinalStatus(std::uint16_t);
+
 /// The part of a target before the query.
 std::string_view pathOf(std::string_view target);
 
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -444,6 +444,11 @@
         callsByHop.erase(found);
         if (!call)
             return;
+        // The node beside the upstream checks this too; one of an earlier version does not.
+        if (response.outcome == HopOutcome::Responded && !isFinalStatus(response.status)) {
+            response.outcome = HopOutcome::OutcomeUnknown;
+            response.reason = HopReason::ResponseInvalid;
+        }
         call->hopNumber = 0;
         state.costs.updateReportedCost(call->route->id, response.costs);
         state.costs.updateReportedArrivals(call->route->id, response.arrivals);
--- a/src/transport/HttpCodec.cpp
+++ b/src/transport/HttpCodec.cpp
@@ -236,6 +236,13 @@
 
 bool ResponseParser::failed() const { return m_internals->failed; }
 
+std::optional<std::uint16_t> ResponseParser::status() const
+{
+    const auto& parser = m_internals->parser;
+    return parser.is_header_done() ? std::optional(static_cast<std::uint16_t>(parser.get().result_int()))
+                                   : std::nullopt;
+}
+
 std::optional<std::uint64_t> ResponseParser::announcedBodyBytes() const
 {
     const auto& parser = m_internals->parser;
--- a/src/transport/HttpCodec.h
+++ b/src/transport/HttpCodec.h
@@ -72,6 +72,8 @@
     bool started() const;
     bool done() const;
     bool failed() const;
+    /// Nothing before the header is complete.
+    std::optional<std::uint16_t> status() const;
     /// The length of the body if the header says it; nothing before the header is complete.
     std::optional<std::uint64_t> announcedBodyBytes() const;
     /// Whether the response has no length, so that its body ends when the connection is closed.
--- a/src/transport/UpstreamConnectionPool.cpp
+++ b/src/transport/UpstreamConnectionPool.cpp
@@ -203,12 +203,13 @@
         while (connection->exchange != 0 && !connection->input.empty()) {
             const std::size_t used = connection->parser->feed(connection->input);
             connection->input.erase(0, used);
-            if (connection->parser->failed())
+            const auto status = connection->parser->status();
+            const bool isInterim = status && isInterimStatus(*status);
+            if (connection->parser->failed() || (status && !isInterim && !isFinalStatus(*status)))
                 return finish(connection, UpstreamResult::Kind::Invalid, {}, false);
             if (!connection->parser->done())
                 return;
             HttpResponse response = connection->parser->take();
-            const bool isInterim = response.head.status < 200;
             if (!isInterim && isForRequest(*connection, response))
                 return onResponse(connection, std::move(response));
             if (!isInterim && !response.head.fields.find(fieldNames.requestId))
--- a/test/correctness/EntryServiceRespondsExactlyOnce.cpp
+++ b/test/correctness/EntryServiceRespondsExactlyOnce.cpp
@@ -221,3 +221,17 @@
         CHECK(fixture.entry.openCount() == 0);
     }
 }
+
+// Guards against a status without a meaning that a node of an earlier version passes on.
+TEST_CASE("a node's response with a status that has no meaning is taken as one that may have run")
+{
+    for (const std::uint16_t status : { 0, 99, 101, 600, 999 }) {
+        CAPTURE(status);
+        EntryServiceFixture fixture;
+        fixture.begin("/order/1");
+        fixture.respond(HopOutcome::Responded, status);
+        REQUIRE(fixture.responses.size() == 1);
+        CHECK(fixture.responses[0].head.status == 502);
+        CHECK(fixture.transport.sent.size() == 1);
+    }
+}
--- a/test/correctness/HopServiceReportsExecution.cpp
+++ b/test/correctness/HopServiceReportsExecution.cpp
@@ -318,3 +318,25 @@
     CHECK(fixture.responses[0].outcome == HopOutcome::OutcomeUnknown);
     CHECK(fixture.responses[1].outcome == HopOutcome::NotRun); // was sent later, and never arrived
 }
+
+// Guards against callers being told of a run that no response tells of, and against slots held until the
+// deadline.
+TEST_CASE("a response with a status that has no meaning is invalid at once, and is no interim response")
+{
+    for (const std::string status : { "000 X", "099 X", "101 Switching Protocols", "600 X", "999 X" }) {
+        CAPTURE(status);
+        for (const bool idempotent : { false, true }) {
+            HopServiceFixture fixture([&](const HttpRequest& request) {
+                std::string bytes = sealedResponse(request);
+                return ScriptedResponse { bytes.replace(bytes.find("200 OK"), 6, status) };
+            });
+            fixture.requestAndWait(1, idempotent);
+            REQUIRE(fixture.responses.size() == 1);
+            CHECK(fixture.responses[0].outcome == HopOutcome::OutcomeUnknown);
+            CHECK(fixture.responses[0].reason == HopReason::ResponseInvalid);
+            CHECK(fixture.upstream.requests().size() == 1);
+            CHECK(fixture.pool.connectionCount() == 0);
+            CHECK(fixture.hop.openCount() == 0);
+        }
+    }
+}
