A stop keeps the grace that the settings file has

Cause: the settings file was read at the start and at SIGHUP only. The platform may change it without a signal; a node then accepted requests for a grace that it no longer had.

SIGTERM applies the settings as SIGHUP does, before the end of the stop is computed.

StopsKeepTheGraceInForce fails without the change: the process ended after 9.9 s, at the time limit of the request it was reading, with 4 s in the file.

--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -490,6 +490,7 @@
     {
         if (m_state.isLeaving())
             return;
+        applySettings(); // the file may have changed without a signal
         m_leavingSince = monotonicNow();
         m_state.shutdownDeadline
             = m_leavingSince + std::max(minLeaveTime, m_state.settings.grace - shutdownMargin);
