--- a/src/transport/CallerServer.cpp
+++ b/src/transport/CallerServer.cpp
@@ -121,6 +121,7 @@
     static std::vector<CallerActivity> activitiesOf(const std::vector<ConnectionPtr>& all)
     {
         std::vector<CallerActivity> activities;
+        activities.reserve(all.size());
         for (const ConnectionPtr& connection : all)
             activities.push_back(activityOf(*connection, monotonicNow()));
         return activities;
--- a/test/clients/CrowdClient.cpp
+++ b/test/clients/CrowdClient.cpp
@@ -54,14 +54,15 @@
     m_comesBack = false;
     if (m_isStopped)
         return;
-    Soak::connectPaced(m_io, m_address, connectTimeout, smallReceiveBuffer, [this](Connection connection) {
-        if (!connection)
-            return comeBackLater();
-        onConnected(std::move(connection));
-    });
+    Soak::connectPaced(
+        m_io, m_address, connectTimeout, smallReceiveBuffer, [this](const Connection& connection) {
+            if (!connection)
+                return comeBackLater();
+            onConnected(connection);
+        });
 }
 
-void CrowdClient::onConnected(Connection connection)
+void CrowdClient::onConnected(const Connection& connection)
 {
     if (m_isStopped)
         return;
--- a/test/clients/CrowdClient.h
+++ b/test/clients/CrowdClient.h
@@ -56,7 +56,7 @@
     using Connection = std::shared_ptr<Soak::PacedConnection>;
 
     void connect();
-    void onConnected(Connection);
+    void onConnected(const Connection&);
     void onBytes(std::string_view);
     void comeBackLater();
     void closeLater(const Connection&);
--- a/test/clients/main.cpp
+++ b/test/clients/main.cpp
@@ -87,10 +87,11 @@
     void send()
     {
         ++m_sent;
-        connectStream(m_io, m_address, PeerLocation::SameVm, 2s, [this](std::shared_ptr<ByteStream> stream) {
-            if (stream)
-                talk(stream);
-        });
+        connectStream(
+            m_io, m_address, PeerLocation::SameVm, 2s, [this](const std::shared_ptr<ByteStream>& stream) {
+                if (stream)
+                    talk(stream);
+            });
         auto timer = std::make_shared<boost::asio::steady_timer>(m_io, ordinaryPeriod);
         timer->async_wait([this, timer](const boost::system::error_code&) { send(); });
     }
