Status pages: bounded connections, no pages for a client that reads none

A client at the port of the metrics could end the node: one that asks for pages and reads none makes them pile up, and silent connections take descriptors without a limit. The same server has the readiness page.

StatusServer kept every connection, and wrote a page for each request.

A server has 32 connections, closing ones included; for another one the least recently used is closed. A client that asks again before its last page is on its way is disconnected. Whoever scrapes the metrics or probes the readiness has one or two connections and reads its pages.

--- a/src/transport/StatusServer.cpp
+++ b/src/transport/StatusServer.cpp
@@ -1,16 +1,20 @@
-// Responds to each request with one page; connections are kept open unless the client asks to close them.
+// Responds to each request with one page; connections are kept open unless the client asks to close them, or
+// more are needed than a server has.
 #include "transport/StatusServer.h"
 
 #include "transport/ByteStream.h"
 #include "transport/HttpCodec.h"
 #include "transport/StreamAcceptor.h"
 
-#include <set>
+#include <algorithm>
+#include <vector>
 
 namespace Ebonystack {
 namespace {
 
 constexpr std::uint32_t maxHeaderBytes = 8192;
+/// Of one server, those that are closing included.
+constexpr std::size_t maxConnections = 32;
 
 } // namespace
 
@@ -29,20 +33,44 @@
 
     void accept(boost::asio::ip::tcp::socket socket)
     {
+        makeRoom();
         auto connection = std::make_shared<Connection>();
         connection->stream = std::make_shared<ByteStream>(std::move(socket), PeerLocation::OtherVm);
-        connections.insert(connection);
+        connections.push_back(connection);
         startStream(*connection->stream, weak_from_this(), std::weak_ptr<Connection>(connection),
             &Internals::onBytes, &Internals::onEnd);
     }
 
-    void onEnd(const ConnectionPtr& connection, StreamEnd) { connections.erase(connection); }
+    /// Closes the connection that was used least recently if there is no room for another one.
+    void makeRoom()
+    {
+        std::erase_if(connections, [](const ConnectionPtr& each) { return !each->stream->isOpen(); });
+        if (connections.size() < maxConnections)
+            return;
+        connections.front()->stream->close();
+        connections.erase(connections.begin());
+    }
+
+    void onEnd(const ConnectionPtr& connection, StreamEnd) { std::erase(connections, connection); }
+
+    void markUsed(const ConnectionPtr& connection)
+    {
+        const auto position = std::ranges::find(connections, connection);
+        if (position != connections.end())
+            std::rotate(position, position + 1, connections.end());
+    }
 
     void onBytes(const ConnectionPtr& connection, std::string_view bytes)
     {
         connection->parser.feed(bytes);
         if (!connection->parser.done() && !connection->parser.refusal())
             return;
+        // A client that asks again without reading would let its pages pile up.
+        if (connection->stream->unsent() > 0) {
+            connection->stream->close();
+            return onEnd(connection, StreamEnd::Closed);
+        }
+        markUsed(connection);
         HttpResponse response;
         if (connection->parser.refusal()) {
             response.head.status = describe(connection->parser.refusal()->code).httpStatus;
@@ -57,14 +85,12 @@
         }
         connection->parser = RequestParser(maxHeaderBytes, 0);
         connection->stream->write(writeResponse(response.head, response.body.view(), false));
-        if (!response.head.keepAlive) {
+        if (!response.head.keepAlive)
             connection->stream->closeAfterWriting();
-            connections.erase(connection);
-        }
     }
 
     MakePage makePage;
-    std::set<ConnectionPtr> connections;
+    std::vector<ConnectionPtr> connections; // the least recently used one first
     std::unique_ptr<StreamAcceptor> acceptor;
 };
 
--- a/test/clients/CrowdClient.cpp
+++ b/test/clients/CrowdClient.cpp
@@ -23,6 +23,7 @@
 constexpr int smallReceiveBuffer = 4096;
 constexpr std::size_t slowReadBytes = 8;
 constexpr auto slowReadPeriod = 500ms;
+constexpr auto pagePeriod = 10ms;
 constexpr std::size_t partOfHeadBytes = 14'000;
 const std::string deadlineField = "Ebonystack-Deadline-Ms: 5000\r\n";
 
@@ -222,6 +223,13 @@
 
 void CrowdClient::readEndless() { askForAnswer(endlessPath); }
 
+void CrowdClient::askForPages()
+{
+    m_connection->pauseReading();
+    m_connection->write("GET /metrics HTTP/1.1\r\nHost: example\r\n\r\n");
+    after(pagePeriod, &CrowdClient::askForPages);
+}
+
 void CrowdClient::mix()
 {
     static constexpr std::array<Behaviour, 3> all { &CrowdClient::readSlowly,
--- a/test/clients/CrowdClient.h
+++ b/test/clients/CrowdClient.h
@@ -49,6 +49,8 @@
     void readSlowly();
     /// Asks for a response without an end.
     void readEndless();
+    /// Asks for pages of the metrics, and reads none.
+    void askForPages();
     /// Some clients read slowly, the others send bodies of both kinds that stop short.
     void mix();
 
--- a/test/clients/CrowdSite.cpp
+++ b/test/clients/CrowdSite.cpp
@@ -148,7 +148,8 @@
         { "service", "registry" }, { "upstreamAddress", addressOf(node, upstreamPort) },
         { "callerAddress", addressOf(node, callerPort) }, { "readinessAddress", addressOf(node, readyPort) },
         { "storeAddress", addressOf(node, storePort) }, { "peerPort", peerPort },
-        { "memoryMegabytes", limits.memoryMegabytes }, { "descriptors", limits.descriptors } };
+        { "metricsPort", metricsPort }, { "memoryMegabytes", limits.memoryMegabytes },
+        { "descriptors", limits.descriptors } };
     m_nodes.push_back(
         std::make_unique<ChildProcess>(std::vector<std::string> { sidecar, "--config", settings.string() },
             (m_folder / "nodes.log").string()));
--- a/test/clients/CrowdSite.h
+++ b/test/clients/CrowdSite.h
@@ -59,12 +59,15 @@
 
     /// Of the node that the crowd uses.
     std::string callerAddress() const { return addressOf(0, callerPort); }
+    /// Likewise.
+    std::string metricsAddress() const { return addressOf(0, metricsPort); }
     std::string hostOf(unsigned node) const;
     unsigned nodeCount() const { return static_cast<unsigned>(m_nodes.size()); }
     ChildProcess& node(unsigned index) { return *m_nodes[index]; }
 
 private:
     static constexpr int callerPort = 21000;
+    static constexpr int metricsPort = 21005;
 
     std::string addressOf(unsigned node, int port) const;
     std::vector<std::string> storeAddresses(unsigned nodes) const;
--- a/test/clients/main.cpp
+++ b/test/clients/main.cpp
@@ -41,6 +41,7 @@
     bool staysAtStop { false }; // the crowd is there until the process has ended
     CrowdClient::Behaviour before { nullptr }; // of as many clients for some seconds before, if set
     std::size_t bytesBefore { 0 };
+    bool isAtMetrics { false }; // the crowd connects to the port of the metrics
 };
 
 const std::vector<Case>& allCases()
@@ -66,6 +67,8 @@
         { "RemoteWholeBodies", &C::sendWholeBody, 200, 1 << 20, { 64, 1000 }, 2 },
         { "RemoteSlowReaders", &C::readSlowly, 100, 4'000'000, { 64, 1000 }, 2 },
         { "RemoteMixed", &C::mix, 100, 4 << 20, { 64, 1000 }, 2 },
+        { "SilentMetricsConnections", &C::staySilent, 900, 0, { 64, 500 }, 1, false, nullptr, 0, true },
+        { "UnreadMetrics", &C::askForPages, 100, 0, { 64, 500 }, 1, false, nullptr, 0, true },
     };
     return cases;
 }
@@ -188,10 +191,11 @@
 
     void startCrowd(CrowdClient::Behaviour behaviour, std::size_t bytes)
     {
+        const std::string address = m_case.isAtMetrics ? m_site.metricsAddress() : m_site.callerAddress();
         const unsigned count = FLAGS_clients ? FLAGS_clients : m_case.clients;
         for (unsigned i = 0; i < count; ++i) {
             m_crowd.push_back(std::make_unique<CrowdClient>(
-                m_io, m_site.callerAddress(), std::to_string(m_crowd.size()), behaviour, bytes));
+                m_io, address, std::to_string(m_crowd.size()), behaviour, bytes));
             m_crowd.back()->start();
         }
     }
