--- a/src/coordination/PlanOwners.cpp
+++ b/src/coordination/PlanOwners.cpp
@@ -3,6 +3,8 @@
 
 #include "state/Rendezvous.h"
 
+#include <utility>
+
 namespace Ebonystack {
 
 std::optional<VmId> planOwner(const TeamId& team, const std::vector<VmId>& vms)
@@ -28,8 +30,10 @@
 {
     if (m_directoryVersion != m_directory.version()) {
         m_directoryVersion = m_directory.version();
-        m_vms = m_directory.publishedVms();
-        m_owners.clear();
+        auto vms = m_directory.publishedVms();
+        if (vms != m_vms)
+            m_owners.clear(); // not when records are only renewed
+        m_vms = std::move(vms);
     }
     const auto known = m_owners.find(team);
     if (known != m_owners.end())
--- a/src/coordination/TokenBuckets.cpp
+++ b/src/coordination/TokenBuckets.cpp
@@ -30,9 +30,9 @@
         return { requestedTokens, Duration::zero() };
     const double rate = plan.ratePerSecond * m_share;
     const double burst = std::max(plan.burst * m_share, 1.0);
-    const auto [found, isNew]
-        = m_buckets.try_emplace(team, Bucket { std::max(burst * initialFill, 1.0), now });
-    Bucket& bucket = found->second;
+    const double newOwnersTokens = std::max(burst * initialFill, 1.0);
+    Bucket& bucket = m_buckets.try_emplace(team, Bucket { newOwnersTokens, now }).first->second;
+    bucket.newOwnersTokens = newOwnersTokens;
     bucket.tokens = std::min(burst, bucket.tokens + rate * toSeconds(now - bucket.refilledAt));
     bucket.refilledAt = now;
     if (bucket.tokens < 1)
@@ -43,6 +43,16 @@
     return { granted, Duration::zero() };
 }
 
+void TokenBuckets::limitUnowned(const std::function<bool(const TeamId&)>& isOwned, Instant now)
+{
+    for (auto& [team, bucket] : m_buckets) {
+        if (isOwned(team))
+            continue;
+        bucket.tokens = std::min(bucket.tokens, bucket.newOwnersTokens);
+        bucket.refilledAt = now;
+    }
+}
+
 bool TokenCache::use(const TeamId& team, Instant now)
 {
     TeamTokens& teamTokens = m_teamTokens[team];
--- a/src/coordination/TokenBuckets.h
+++ b/src/coordination/TokenBuckets.h
@@ -1,6 +1,6 @@
 // Token buckets for the plans of teams. Each team's plan has one owner VM (see PlanOwners), from which entry
-// nodes request tokens. A new owner starts with a new, partly filled bucket. An entry node that can't reach
-// the owner falls back to a bucket of its own with a small share of the plan.
+// nodes request tokens. A new owner starts with a partly filled bucket, also if it has owned the plan before.
+// An entry node that can't reach the owner falls back to a bucket of its own with a small share of the plan.
 #pragma once
 
 #include "state/Names.h"
@@ -9,6 +9,7 @@
 #include <compare>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 
 namespace Ebonystack {
@@ -34,11 +35,15 @@
     /// Takes up to `requestedTokens` tokens from the team's bucket: one at least, or none. A plan without a
     /// limit grants all.
     TokenGrant take(const TeamId&, const TeamPlan&, std::uint32_t requestedTokens, Instant now);
+    /// Leaves no more than a new owner starts with in the buckets of plans that this node doesn't own:
+    /// another node grants the rest. Call it at regular intervals.
+    void limitUnowned(const std::function<bool(const TeamId&)>& isOwned, Instant now);
 
 private:
     struct Bucket {
         double tokens { 0 };
         Instant refilledAt;
+        double newOwnersTokens { 0 }; // what a new owner starts with
     };
 
     double m_share;
--- a/src/transport/Sidecar.cpp
+++ b/src/transport/Sidecar.cpp
@@ -127,6 +127,7 @@
             m_state.recordLoadReport(m_localOrigin.vm, m_hop.load(), at);
             m_entry.updateAdmittedShares(at);
             m_callers.tick(at);
+            m_tokenServer.tick(at);
         });
         m_state.timers.every(now, housekeepingPeriod, [this](Instant at) {
             m_state.costs.decay();
--- a/src/transport/TokenServer.cpp
+++ b/src/transport/TokenServer.cpp
@@ -11,10 +11,17 @@
 
 TokenServer::TokenServer(const SidecarState& state)
     : m_state(state)
+    , m_owners(state.directory)
     , m_buckets(1)
 {
 }
 
+void TokenServer::tick(Instant now)
+{
+    const VmId self { m_state.settings.vm };
+    m_buckets.limitUnowned([&](const TeamId& team) { return m_owners.ownerOf(team) == self; }, now);
+}
+
 TokenResponse TokenServer::grant(const TokenRequest& request)
 {
     const TeamConfig* team = m_state.config ? m_state.config->findTeam(request.team) : nullptr;
--- a/src/transport/TokenServer.h
+++ b/src/transport/TokenServer.h
@@ -1,6 +1,7 @@
 // Grants tokens of the team plans that this node owns to entry nodes, from one bucket per team.
 #pragma once
 
+#include "coordination/PlanOwners.h"
 #include "coordination/TokenBuckets.h"
 #include "protocol/PeerFrame.h"
 #include "transport/SidecarState.h"
@@ -17,9 +18,12 @@
     TokenResponse grant(const TokenRequest&);
     /// Of every plan, see ownerPlanShare.
     void setPlanShare(double share) { m_buckets.setPlanShare(share); }
+    /// Call it at regular intervals.
+    void tick(Instant now);
 
 private:
     const SidecarState& m_state;
+    PlanOwners m_owners;
     TokenBuckets m_buckets;
 };
 
--- a/test/correctness/TeamPlansHoldAcrossEntryNodes.cpp
+++ b/test/correctness/TeamPlansHoldAcrossEntryNodes.cpp
@@ -75,6 +75,25 @@
     CHECK(granted <= 600);
 }
 
+TEST_CASE("owners that change while records return stay within the plan and its overshoot")
+{
+    // Each has owned the plan before, and its bucket has been full since. Owners change each 200 ms, and the
+    // first one owns the plan again.
+    constexpr std::size_t ownerCount = 5;
+    std::vector<TokenBuckets> owners(ownerCount, TokenBuckets(1));
+    for (TokenBuckets& owner : owners)
+        owner.take(team, plan, 1, start - 60s);
+    std::uint32_t granted = 0;
+    for (Duration passed = Duration::zero(); passed < 5s; passed += 1ms) {
+        const auto current = std::min<std::size_t>(passed / 200ms, ownerCount) % ownerCount;
+        for (std::size_t i = 0; i < ownerCount; ++i)
+            owners[i].limitUnowned([&](const TeamId&) { return i == current; }, start + passed);
+        granted += owners[current].take(team, plan, 1, start + passed).tokens;
+    }
+    CHECK(granted <= 750); // the operator allows 25 % beyond rate and burst
+    CHECK(granted >= 500);
+}
+
 TEST_CASE("granted tokens expire when they are not used")
 {
     TokenCache cache;
