Without a plan's owner the nodes grant its share, however many they are

The operator saw teams with small plans exceed them when the owner's VM was lost: 44 or 45 requests in 5 s of 35 allowed, on 60 nodes.

Cause: an entry node without the owner had a bucket with one whole request at least, so that a fleet of n nodes granted n requests at once.

An entry node's bucket holds its share, also if that is a part of a request, and grants one with that probability (FallbackTokens). The nodes together grant half of the rate and of the burst. A node whose share of the burst is a whole request begins with one, as before.

--- a/src/coordination/TokenBuckets.h
+++ b/src/coordination/TokenBuckets.h
@@ -1,6 +1,6 @@
 // Token buckets for the plans of teams. Each team's plan has one owner VM (see PlanOwners), from which entry
 // nodes request tokens. A new owner starts with a partly filled bucket, also if it has owned the plan before.
-// An entry node that can't reach the owner falls back to a bucket of its own with a small share of the plan.
+// An entry node that can't reach the owner falls back to a small share of its own (FallbackTokens).
 #pragma once
 
 #include "state/Names.h"
@@ -25,7 +25,7 @@
 /// The buckets at one VM, one per team, each with the team's burst as its capacity. Not thread-safe.
 class TokenBuckets {
 public:
-    /// `share` scales rates and bursts: 1 at a plan's owner, less for the fallback of an entry node.
+    /// `share` scales rates and bursts: 1 at a plan's owner, less if it is cut off (PlanShare).
     explicit TokenBuckets(double share)
         : m_share(share)
     {
--- a/src/transport/EntryService.cpp
+++ b/src/transport/EntryService.cpp
@@ -80,7 +80,7 @@
         , random(seed + 2)
         , admission(seed + 1)
         , retryAfterPolicy(seed)
-        , tokenClient(std::make_shared<TokenClient>(sharedState, nodeTransport))
+        , tokenClient(std::make_shared<TokenClient>(sharedState, nodeTransport, seed + 3))
     {
     }
 
--- a/src/transport/TokenClient.cpp
+++ b/src/transport/TokenClient.cpp
@@ -13,11 +13,11 @@
 
 } // namespace
 
-TokenClient::TokenClient(SidecarState& state, NodeTransport& transport)
+TokenClient::TokenClient(SidecarState& state, NodeTransport& transport, std::uint64_t seed)
     : m_state(state)
     , m_transport(transport)
     , m_owners(state.directory)
-    , m_fallbackBuckets(1)
+    , m_fallbackTokens(seed)
 {
 }
 
@@ -61,8 +61,8 @@
 
 void TokenClient::takeFromFallback(const PendingRequest& request, const std::string& reason)
 {
-    m_fallbackBuckets.setPlanShare(entryNodePlanShare(m_state.directory.vms().size()));
-    const TokenGrant grant = m_fallbackBuckets.take(request.team, request.plan, 1, m_state.now());
+    const double share = entryNodePlanShare(m_state.directory.vms().size());
+    const TokenGrant grant = m_fallbackTokens.take(request.team, request.plan, share, m_state.now());
     if (grant.tokens > 0)
         return request.done(std::nullopt);
     request.done(notRunRefusal(ResultCode::PlanGrantsUnavailable, reason, grant.retryAfter));
--- a/src/transport/TokenClient.h
+++ b/src/transport/TokenClient.h
@@ -2,6 +2,7 @@
 // falls back to a small share of the plan when the owner does not respond.
 #pragma once
 
+#include "coordination/FallbackTokens.h"
 #include "coordination/PlanOwners.h"
 #include "coordination/TokenBuckets.h"
 #include "protocol/Refusal.h"
@@ -21,7 +22,7 @@
     using Callback = std::function<void(const std::optional<Refusal>&)>;
 
     /// The state and the transport outlive the client.
-    TokenClient(SidecarState&, NodeTransport&);
+    TokenClient(SidecarState&, NodeTransport&, std::uint64_t seed);
 
     /// Takes a token for one request of a team; `done` is called once, possibly before `take`
     /// returns, with a refusal or nothing.
@@ -37,14 +38,14 @@
         Callback done;
     };
 
-    /// Takes a token from the fallback bucket; refuses with `reason` when there is none.
+    /// Takes a token of the node's own share; refuses with `reason` when there is none.
     void takeFromFallback(const PendingRequest&, const std::string& reason);
 
     SidecarState& m_state;
     NodeTransport& m_transport;
     PlanOwners m_owners;
     TokenCache m_cache;
-    TokenBuckets m_fallbackBuckets;
+    FallbackTokens m_fallbackTokens;
     std::unordered_map<std::uint64_t, PendingRequest> m_pendingRequests; // without a response, by number
     std::uint64_t m_nextNumber { 1 };
 };
--- a/test/property/PlansAreNeverExceeded.cpp
+++ b/test/property/PlansAreNeverExceeded.cpp
@@ -1,5 +1,7 @@
 // A team's plan over all entry nodes: whichever tokens they request, use or let expire, also when the owner
 // of the plan changes or can't be reached, they admit no more than rate, burst and the allowed overshoot.
+#include "coordination/FallbackTokens.h"
+#include "coordination/PlanShare.h"
 #include "coordination/TokenBuckets.h"
 
 #include <doctest/doctest.h>
@@ -46,7 +48,7 @@
         const Instant end = now + testDuration;
         TokenBuckets owner(1);
         std::vector<TokenCache> caches(entryNodeCount);
-        std::vector<TokenBuckets> fallbacks(entryNodeCount, TokenBuckets(0.5 / entryNodeCount));
+        std::vector<FallbackTokens> fallbacks(entryNodeCount, FallbackTokens(1));
         int ownerChangeCount = 0;
         double admitted = 0;
         for (const Step& step : steps) {
@@ -63,10 +65,9 @@
                     ++admitted;
                     continue;
                 }
-                TokenBuckets& buckets = step.ownerReachable ? owner : fallbacks[node];
-                const std::uint32_t requestedTokens
-                    = step.ownerReachable ? caches[node].tokensToRequest(team) : 1;
-                const TokenGrant grant = buckets.take(team, plan, requestedTokens, now);
+                const TokenGrant grant = step.ownerReachable
+                    ? owner.take(team, plan, caches[node].tokensToRequest(team), now)
+                    : fallbacks[node].take(team, plan, entryNodePlanShare(entryNodeCount), now);
                 if (grant.tokens == 0)
                     continue;
                 ++admitted;
