--- a/src/transport/TokenServer.h
+++ b/src/transport/TokenServer.h
@@ -16,7 +16,7 @@
 
     /// Grants no tokens for a team that is not in the current configuration.
     TokenResponse grant(const TokenRequest&);
-    /// Of every plan, see ownerPlanShare.
+    /// Of every plan, see ownerPlanShareWithoutStore.
     void setPlanShare(double share) { m_buckets.setPlanShare(share); }
     /// Call it at regular intervals.
     void tick(Instant now);
