--- a/test/correctness/HopServiceReportsExecution.cpp
+++ b/test/correctness/HopServiceReportsExecution.cpp
@@ -319,8 +319,7 @@
     CHECK(fixture.responses[1].outcome == HopOutcome::NotRun); // was sent later, and never arrived
 }
 
-// Guards against callers being told of a run that no response tells of, and against slots held until the
-// deadline.
+// Guards against slots held until the deadline, and against callers that get such a response.
 TEST_CASE("a response with a status that has no meaning is invalid at once, and is no interim response")
 {
     for (const std::string status : { "000 X", "099 X", "101 Switching Protocols", "600 X", "999 X" }) {
--- a/test/correctness/TeamPlansHoldAcrossEntryNodes.cpp
+++ b/test/correctness/TeamPlansHoldAcrossEntryNodes.cpp
@@ -77,8 +77,7 @@
 
 TEST_CASE("owners that change while records return stay within the plan and its overshoot")
 {
-    // Each has owned the plan before, and its bucket has been full since. Owners change each 200 ms, and the
-    // first one owns the plan again.
+    // Each has owned the plan before, and its bucket has filled up since.
     constexpr std::size_t ownerCount = 5;
     std::vector<TokenBuckets> owners(ownerCount, TokenBuckets(1));
     for (TokenBuckets& owner : owners)
